A VM's burst comes from the team's burst and the slack, and buckets fill from the start

Ruled out: busy servers (6 refusals). Change: the bursts of all VMs add up to burst and slack, half of it evenly; buckets fill from the start of the process; BEGIN and ROLLBACK carry the caller's id, since statements without one are priced as probes.

--- a/serve/caller.go
+++ b/serve/caller.go
@@ -137,7 +137,7 @@
 	case model.CommandBegin:
 		return c.begin(command)
 	case model.CommandRollback:
-		return c.rollback(), false
+		return c.rollback(command), false
 	case model.CommandCommit:
 		return c.commit(command), false
 	case model.CommandRead, model.CommandWrite, model.CommandExecute:
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -13,7 +13,11 @@
 
 // transaction is a caller's open transaction; it takes a connection at its first statement and keeps it to the end.
 type transaction struct {
-	op       operation
+	op operation
+	// begin is the caller's id of the statement that opened the transaction.
+	begin model.RequestID
+	// rollback is the caller's id of the statement that ends it without effect, empty where the proxy ends it.
+	rollback model.RequestID
 	readOnly bool
 	wrote    bool
 	to       choice
@@ -30,7 +34,7 @@
 		c.report(op, command, "", op.refusal, 0)
 		return op.refusal, op.endSession
 	}
-	c.tx = &transaction{op: op, readOnly: command.ReadOnly}
+	c.tx = &transaction{op: op, begin: command.ID, readOnly: command.ReadOnly}
 	c.session.State = model.TxOpen
 	return model.Reply{}, false
 }
@@ -123,7 +127,7 @@
 		c.server.config.Pool.Put(sentAt, conn)
 		return attempt{err: errLease}
 	}
-	begin := model.Query{Text: c.server.config.Phrases.Begin(c.tx.readOnly), Since: to.since}
+	begin := model.Query{ID: c.tx.begin, Text: c.server.config.Phrases.Begin(c.tx.readOnly), Since: to.since}
 	reply, err := conn.Run(c.attemptDeadline(sentAt, deadline), c.session.Values, begin)
 	if err == nil && reply.Fault == "" && reply.State != model.TxOpen {
 		err = errors.New("the instance did not open the transaction")
@@ -178,10 +182,11 @@
 }
 
 // rollback ends the transaction without effect.
-func (c *caller) rollback() model.Reply {
+func (c *caller) rollback(command model.Command) model.Reply {
 	if c.session.State == model.TxNone {
 		return bad("no transaction is open")
 	}
+	c.tx.rollback = command.ID
 	c.close()
 	return model.Reply{}
 }
@@ -210,7 +215,7 @@
 	conn := t.conn
 	t.conn = nil
 	if !conn.Broken() {
-		reply, err := conn.Run(clock.Now().Add(rollbackTimeout), c.session.Values, model.Query{Text: c.server.config.Phrases.Rollback()})
+		reply, err := conn.Run(clock.Now().Add(rollbackTimeout), c.session.Values, model.Query{ID: t.rollback, Text: c.server.config.Phrases.Rollback()})
 		if err != nil || reply.Fault != "" || reply.State != model.TxNone {
 			conn.Break()
 		}
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -18,9 +18,18 @@
 		Demand map[model.TeamName]float64
 	}
 
+	// Config tells a limiter about the fleet.
+	Config struct {
+		// VMs returns how many VMs there are.
+		VMs func() int
+		// Slack is how many operations above rate and burst the fleet may run in a window; it gives each VM a burst of its own.
+		Slack float64
+	}
+
 	// Limiter admits operations within a VM's part of each team's rate; it is safe for concurrent use.
 	Limiter struct {
-		vms func() int
+		config  Config
+		started time.Time
 
 		mu      sync.Mutex
 		teams   map[model.TeamName]*team
@@ -38,9 +47,9 @@
 	}
 )
 
-// New returns a limiter; vms tells how many VMs there are.
-func New(vms func() int) *Limiter {
-	return &Limiter{vms: vms, teams: map[model.TeamName]*team{}, reports: map[model.VMID]told{}}
+// New returns a limiter whose buckets fill from now on, so that a restart grants nothing twice.
+func New(now time.Time, config Config) *Limiter {
+	return &Limiter{config: config, started: now, teams: map[model.TeamName]*team{}, reports: map[model.VMID]told{}}
 }
 
 // Admit spends a token of a team, or tells when there is one.
@@ -49,12 +58,13 @@
 	defer l.mu.Unlock()
 	t := l.teams[limits.Name]
 	if t == nil {
-		t = &team{}
+		t = &team{bucket: bucket{at: l.started}}
 		l.teams[limits.Name] = t
 	}
-	part := Split(limits.Rate, t.demand.read(now), l.others(now, limits.Name), l.vms())
+	vms := l.config.VMs()
+	part := Split(limits.Rate, t.demand.read(now), l.others(now, limits.Name), vms)
 	t.demand.count(now)
-	size := max(1, limits.Burst*part/max(limits.Rate, 1e-9))
+	size := Size(limits, l.config.Slack, part, vms)
 	t.bucket.refill(now, part, size)
 	return t.bucket.take(part)
 }
