--- /dev/null
+++ b/conns/conns_test.go
@@ -0,0 +1,268 @@
+package conns
+
+import (
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/platform"
+	"github.com/crocusshore/crocusshore/tree"
+)
+
+// fakeLink records what it is sent.
+type fakeLink struct {
+	mu     sync.Mutex
+	sent   []string
+	closed bool
+	dead   bool
+	answer func(q model.Query) (model.Reply, error)
+}
+
+func (l *fakeLink) Exchange(_ time.Time, queries ...model.Query) ([]model.Reply, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var replies []model.Reply
+	for _, q := range queries {
+		l.sent = append(l.sent, q.Text)
+		reply := model.Reply{State: model.TxNone, Proof: "proof"}
+		if l.answer != nil {
+			var err error
+			if reply, err = l.answer(q); err != nil {
+				return replies, err
+			}
+		}
+		replies = append(replies, reply)
+	}
+	return replies, nil
+}
+
+func (l *fakeLink) Idle() bool { return !l.dead }
+
+func (l *fakeLink) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+}
+
+func (l *fakeLink) Status(time.Time) (model.InstanceState, error) { return model.InstanceState{}, nil }
+
+func (l *fakeLink) Resume(time.Time) (model.InstanceState, error) { return model.InstanceState{}, nil }
+
+func (l *fakeLink) Pause(time.Time, model.Term) (model.InstanceState, error) {
+	return model.InstanceState{}, nil
+}
+
+func (l *fakeLink) Demote(time.Time, model.Term) (model.InstanceState, error) {
+	return model.InstanceState{}, nil
+}
+
+type fakeDialer struct {
+	mu    sync.Mutex
+	links []*fakeLink
+	teams []model.TeamName
+	err   error
+}
+
+func (d *fakeDialer) Dial(_ time.Time, _ model.Instance, team model.TeamName) (model.Link, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.err != nil {
+		return nil, d.err
+	}
+	l := &fakeLink{}
+	d.links = append(d.links, l)
+	d.teams = append(d.teams, team)
+	return l, nil
+}
+
+var instance = model.Instance{Name: "i", Group: "g", Address: netip.MustParseAddrPort("10.0.0.1:5000"), Slots: 3}
+
+func newPool(budget int) (*Pool, *fakeDialer) {
+	d := &fakeDialer{}
+	return New(Config{Dialer: d, Phrases: platform.Phrases{}, Budget: func(model.Instance) int { return budget }}), d
+}
+
+func request(team string, wait time.Duration) Request {
+	return Request{Instance: instance, Team: model.TeamName(team), Class: tree.ClassNormal, Deadline: clock.Now().Add(wait)}
+}
+
+func TestConnectionBelongsToOneTeam(t *testing.T) {
+	p, d := newPool(2)
+	a, err := p.Get(clock.Now(), request("a", time.Second))
+	require.NoError(t, err)
+	p.Put(clock.Now(), a)
+	b, err := p.Get(clock.Now(), request("b", time.Second))
+	require.NoError(t, err)
+	require.NotSame(t, a, b)
+	require.Equal(t, []model.TeamName{"a", "b"}, d.teams)
+	p.Put(clock.Now(), b)
+	// Both are idle and the budget is used up: the one that was used least recently makes room.
+	c, err := p.Get(clock.Now(), request("c", time.Second))
+	require.NoError(t, err)
+	require.True(t, d.links[0].closed)
+	require.False(t, d.links[1].closed)
+	p.Put(clock.Now(), c)
+	used, waiting := p.InUse("i")
+	require.Zero(t, used)
+	require.Zero(t, waiting)
+}
+
+func TestBudgetIsNeverExceededUnderABurst(t *testing.T) {
+	const budget, callers = 3, 60
+	p, d := newPool(budget)
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	held, mostHeld, served := 0, 0, 0
+	for i := range callers {
+		wait.Go(func() {
+			c, err := p.Get(clock.Now(), request([]string{"a", "b", "c", "d"}[i%4], 2*time.Second))
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			held++
+			mostHeld = max(mostHeld, held)
+			served++
+			mu.Unlock()
+			time.Sleep(2 * time.Millisecond)
+			mu.Lock()
+			held--
+			mu.Unlock()
+			p.Put(clock.Now(), c)
+		})
+	}
+	wait.Wait()
+	require.LessOrEqual(t, mostHeld, budget)
+	require.Equal(t, callers, served)
+	open := 0
+	for _, l := range d.links {
+		if !l.closed {
+			open++
+		}
+	}
+	require.LessOrEqual(t, open, budget)
+}
+
+func TestWaitEndsAtTheDeadlineAndLeaksNothing(t *testing.T) {
+	p, _ := newPool(1)
+	c, err := p.Get(clock.Now(), request("a", time.Second))
+	require.NoError(t, err)
+	_, err = p.Get(clock.Now(), request("b", 20*time.Millisecond))
+	require.ErrorIs(t, err, ErrBusy)
+	p.Put(clock.Now(), c)
+	_, err = p.Get(clock.Now(), request("b", time.Second))
+	require.NoError(t, err)
+	used, waiting := p.InUse("i")
+	require.Equal(t, 1, used)
+	require.Zero(t, waiting)
+}
+
+func TestRefusedConnectionGivesItsPlaceBack(t *testing.T) {
+	p, d := newPool(1)
+	d.err = &model.LinkError{Fault: model.FaultTooMany}
+	_, err := p.Get(clock.Now(), request("a", 50*time.Millisecond))
+	require.Error(t, err)
+	_, err = p.Get(clock.Now(), request("a", 20*time.Millisecond))
+	require.ErrorIs(t, err, ErrBusy, "no connection is tried right after the instance had too many")
+	d.err = nil
+	time.Sleep(refusedPause)
+	_, err = p.Get(clock.Now(), request("a", 50*time.Millisecond))
+	require.NoError(t, err)
+}
+
+func TestDeadIdleConnectionIsNotUsed(t *testing.T) {
+	p, d := newPool(2)
+	c, err := p.Get(clock.Now(), request("a", time.Second))
+	require.NoError(t, err)
+	p.Put(clock.Now(), c)
+	d.links[0].dead = true
+	again, err := p.Get(clock.Now(), request("a", time.Second))
+	require.NoError(t, err)
+	require.NotSame(t, c, again)
+	require.True(t, d.links[0].closed)
+}
+
+func TestBrokenConnectionIsClosed(t *testing.T) {
+	p, d := newPool(1)
+	c, err := p.Get(clock.Now(), request("a", time.Second))
+	require.NoError(t, err)
+	c.Break()
+	p.Put(clock.Now(), c)
+	require.True(t, d.links[0].closed)
+	_, err = p.Get(clock.Now(), request("a", time.Second))
+	require.NoError(t, err)
+}
+
+func newConn(l *fakeLink) *Conn {
+	return &Conn{Instance: instance, Team: "a", link: l, phrases: platform.Phrases{}, prepared: map[model.Prepared]string{}}
+}
+
+func TestValuesOfOneSessionNeverReachAnother(t *testing.T) {
+	l := &fakeLink{}
+	c := newConn(l)
+	deadline := clock.Now().Add(time.Second)
+	read := model.Query{ID: "1", Text: "READ a"}
+	for _, values := range []map[string]string{{"zone": "x"}, {"zone": "x"}, {"zone": "y"}, {}} {
+		_, err := c.Run(deadline, values, read)
+		require.NoError(t, err)
+	}
+	require.Equal(t, []string{"SET zone x", "READ a", "READ a", "SET zone y", "READ a", "RESET", "READ a"}, l.sent)
+}
+
+func TestPreparedNamesOfCallersNeverCollide(t *testing.T) {
+	l := &fakeLink{}
+	c := newConn(l)
+	deadline := clock.Now().Add(time.Second)
+	read, write := model.Prepared{Shape: "q"}, model.Prepared{Shape: "q", Write: true}
+	for _, p := range []model.Prepared{read, write, read} {
+		_, err := c.Execute(deadline, nil, p, model.Query{ID: "1"}, "item")
+		require.NoError(t, err)
+	}
+	require.Equal(t, []string{"PREPARE p1 READ q", "EXEC p1 item", "PREPARE p2 WRITE q", "EXEC p2 item", "EXEC p1 item"}, l.sent)
+	_, err := c.Run(deadline, map[string]string{"a": "b"}, model.Query{ID: "1", Text: "READ a"})
+	require.NoError(t, err)
+	_, err = c.Execute(deadline, nil, read, model.Query{ID: "1"}, "item")
+	require.NoError(t, err)
+	require.Equal(t, []string{"RESET", "PREPARE p3 READ q", "EXEC p3 item"}, l.sent[len(l.sent)-3:], "a reset drops prepared statements")
+}
+
+func TestFaultsThatLeaveTheConnectionUnknownBreakIt(t *testing.T) {
+	for name, answer := range map[string]func(model.Query) (model.Reply, error){
+		"no answer":         func(model.Query) (model.Reply, error) { return model.Reply{}, model.ErrNoAnswer },
+		"unknown statement": func(model.Query) (model.Reply, error) { return model.Reply{Fault: model.FaultNoStatement}, nil },
+		"value refused": func(q model.Query) (model.Reply, error) {
+			if q.ID == "" {
+				return model.Reply{Fault: model.FaultBadMessage}, nil
+			}
+			return model.Reply{}, nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newConn(&fakeLink{answer: answer})
+			_, err := c.Run(clock.Now().Add(time.Second), map[string]string{"a": "b"}, model.Query{ID: "1", Text: "READ a"})
+			require.True(t, c.Broken())
+			if name != "unknown statement" {
+				require.True(t, errors.Is(err, model.ErrNoAnswer))
+			}
+		})
+	}
+	require.False(t, errors.Is(ErrBusy, model.ErrNoAnswer))
+}
+
+func TestBudgetsAddUpToLessThanTheInstanceTakes(t *testing.T) {
+	for _, c := range []struct{ most, near, far int }{{48, 7, 6}, {48, 4, 9}, {48, 2, 11}, {140, 7, 14}, {87, 39, 78}} {
+		for _, primary := range []bool{true, false} {
+			total := c.near*Budget(c.most, c.near, c.far, true, primary) + c.far*Budget(c.most, c.near, c.far, false, primary)
+			if c.near+c.far <= c.most {
+				require.LessOrEqual(t, total, c.most, "%+v primary %t", c, primary)
+			}
+			require.GreaterOrEqual(t, Budget(c.most, c.near, c.far, false, primary), leastBudget)
+		}
+	}
+}
--- /dev/null
+++ b/elect/elect_test.go
@@ -0,0 +1,137 @@
+package elect
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/model"
+)
+
+var now = time.Unix(1000, 0)
+
+func ago(d time.Duration) time.Time { return now.Add(-d) }
+
+func mark(term, position int) model.Mark {
+	return model.Mark{Term: model.Term(term), Position: model.Position(position)}
+}
+
+func replica(name string, stopped bool, position int) Replica {
+	return Replica{Instance: model.Instance{Name: model.InstanceName(name)}, Stopped: stopped, Received: mark(1, position)}
+}
+
+func TestNeed(t *testing.T) {
+	healthy := Signs{Known: true, Registered: true}
+	with := func(change func(*Signs)) Signs {
+		s := healthy
+		change(&s)
+		return s
+	}
+	for _, c := range []struct {
+		name  string
+		signs Signs
+		want  Kind
+	}{
+		{"healthy", healthy, KindNone},
+		{"no row yet", Signs{Registered: true}, KindAdopt},
+		{"leaving", with(func(s *Signs) { s.Leaving = true }), KindPlanned},
+		{"registration gone", Signs{Known: true}, KindGone},
+		{"one failure", with(func(s *Signs) { s.Failures, s.FailingSince = 1, ago(time.Second) }), KindNone},
+		{"failing for a moment", with(func(s *Signs) { s.Failures, s.FailingSince = 5, ago(100*time.Millisecond) }), KindNone},
+		{"failing", with(func(s *Signs) { s.Failures, s.FailingSince = 2, ago(400*time.Millisecond) }), KindSuspected},
+		{"commits stuck", with(func(s *Signs) { s.StuckSince = ago(time.Second) }), KindSuspected},
+		{"announced by another VM", with(func(s *Signs) { s.Announced, s.AnnouncedSince, s.Leaving = true, ago(time.Second), true }), KindNone},
+		{"announced and left alone", with(func(s *Signs) { s.Announced, s.AnnouncedSince = true, ago(6*time.Second) }), KindResume},
+		{"announced by a run of our own that ended", with(func(s *Signs) { s.Announced, s.Ours, s.AnnouncedSince = true, true, now }), KindResume},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, Need(now, c.signs)) })
+	}
+}
+
+func TestConfirmed(t *testing.T) {
+	reached := Opinion{Reached: true, CommitAge: -1}
+	failed := Opinion{CommitAge: -1}
+	stuck := Opinion{Reached: true, StuckFor: time.Second, CommitAge: -1}
+	committing := Opinion{Reached: true, CommitAge: 50 * time.Millisecond}
+	for _, c := range []struct {
+		name     string
+		opinions []Opinion
+		want     bool
+	}{
+		{"only this VM is cut off", []Opinion{failed, reached, reached}, false},
+		{"nobody reaches it", []Opinion{failed, failed, failed}, true},
+		{"most do not reach it", []Opinion{failed, failed, reached}, true},
+		{"cut from its replicas", []Opinion{stuck, reached, reached}, true},
+		{"commits answered elsewhere", []Opinion{stuck, committing, reached}, false},
+		{"alone", []Opinion{failed}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, Confirmed(c.opinions)) })
+	}
+}
+
+func TestChooseLosesNoAcknowledgedCommit(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		evidence Evidence
+		want     string
+	}{
+		{"the furthest of all", Evidence{Replicas: []Replica{replica("a", true, 5), replica("b", true, 7)}}, "b"},
+		{"one does not answer and nothing is known", Evidence{Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}, AllReleased: true}, ""},
+		{
+			"one does not answer, the other has what all VMs know",
+			Evidence{Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}, AllReleased: true, Releases: []Release{{Known: mark(1, 5)}, {}}},
+			"a",
+		},
+		{
+			"one does not answer and a VM knows more",
+			Evidence{Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}, AllReleased: true, Releases: []Release{{Known: mark(1, 6)}}},
+			"",
+		},
+		{
+			"one does not answer and a VM did not confirm",
+			Evidence{Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}, Releases: []Release{{Known: mark(1, 5)}}},
+			"",
+		},
+		{"none answers", Evidence{Replicas: []Replica{replica("a", false, 0)}}, ""},
+		{"none is there", Evidence{}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			chosen, ok := Choose(c.evidence)
+			require.Equal(t, c.want != "", ok)
+			require.Equal(t, model.InstanceName(c.want), chosen.Instance.Name)
+		})
+	}
+}
+
+func TestCaughtUpPrefersAReplicaThatStays(t *testing.T) {
+	leaving := replica("a", true, 9)
+	leaving.Instance.Leaving = true
+	chosen, ok := CaughtUp([]Replica{leaving, replica("b", true, 9)}, mark(1, 9))
+	require.True(t, ok)
+	require.Equal(t, model.InstanceName("b"), chosen.Name)
+	_, ok = CaughtUp([]Replica{leaving, replica("b", true, 8)}, mark(1, 9))
+	require.False(t, ok, "the one that stays is waited for")
+	chosen, ok = CaughtUp([]Replica{leaving}, mark(1, 9))
+	require.True(t, ok)
+	require.Equal(t, model.InstanceName("a"), chosen.Name)
+}
+
+// TestDutyNeverHasTwoUsers walks through all instants at which an old holder may still order and a new one may claim.
+func TestDutyNeverHasTwoUsers(t *testing.T) {
+	claimSent := now
+	for delivered := time.Duration(0); delivered < time.Second; delivered += 100 * time.Millisecond {
+		for after := time.Duration(0); after < 10*time.Second; after += 50 * time.Millisecond {
+			instant := claimSent.Add(after)
+			unchangedSince := claimSent.Add(delivered)
+			if MayClaim(instant, false, false, unchangedSince) {
+				require.False(t, MayUse(instant, claimSent))
+			}
+			if MayOrder(instant, claimSent) {
+				require.False(t, MayClaim(instant.Add(orderTime), false, false, unchangedSince), "an order may be on its way for its whole time")
+			}
+		}
+	}
+	require.True(t, MayClaim(now, true, false, now))
+	require.True(t, MayClaim(now, false, true, now))
+}
--- a/node/budget.go
+++ b/node/budget.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/policy"
 )
 
 // defaultConnections is how many connections an instance is believed to take while no settings name its group.
@@ -28,3 +29,13 @@
 	primary := s.Leads[instance.Group].Primary == instance.Name
 	return conns.Budget(most, near, far, instance.Domain == n.config.Settings.Domain, primary)
 }
+
+// team returns the limits of a team as the settings in force state them.
+func (n *Node) team(name model.TeamName) (policy.Team, bool) {
+	p := n.world.State().Policy
+	if p == nil {
+		return policy.Team{}, false
+	}
+	team, known := p.Teams[name]
+	return team, known
+}
--- a/node/command.go
+++ b/node/command.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/crocusshore/crocusshore/logs"
+	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/platform"
 )
 
@@ -64,7 +65,9 @@
 	defer func() { _ = closer.Close() }()
 	n := New(Config{
 		Settings: settings, SettingsPath: c.String("settings"), Log: logger, Scope: scope, MetricsHandler: reporter.HTTPHandler(),
-		Metrics: netip.AddrPortFrom(settings.Address, c.Uint16("metrics-port")),
+		Dialer: platform.Dialer{}, OpenRows: func() model.Rows { return platform.NewStore(settings.Store) },
+		Promotions: platform.NewPromotions(settings.Promotions),
+		Metrics:    netip.AddrPortFrom(settings.Address, c.Uint16("metrics-port")),
 	})
 	return n.Run(ctx)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -44,8 +44,12 @@
 type (
 	// Config names what a node works with.
 	Config struct {
-		Settings       platform.Settings
-		SettingsPath   string
+		Settings     platform.Settings
+		SettingsPath string
+		// Dialer, OpenRows and Promotions lead to the instances and the platform.
+		Dialer         model.Dialer
+		OpenRows       func() model.Rows
+		Promotions     model.Promotions
 		Metrics        netip.AddrPort
 		Log            *log.Logger
 		Scope          tally.Scope
@@ -73,19 +77,19 @@
 	n := &Node{config: config, boot: model.BootID(uuid.NewString()), samples: sample.New(), track: place.NewTrack()}
 	s := config.Settings
 	n.world = world.New(world.Config{VM: s.VM, Boot: n.boot, LeaseBound: leaseBound})
-	n.pool = conns.New(conns.Config{Dialer: platform.Dialer{}, Phrases: platform.Phrases{}, Budget: n.budget})
-	n.limiter = share.New(clock.Now(), share.Config{VMs: func() int { return len(n.world.State().VMs) }, Slack: s.RateSlack})
+	n.pool = conns.New(conns.Config{Dialer: config.Dialer, Phrases: platform.Phrases{}, Budget: n.budget})
+	n.limiter = share.New(clock.Now(), share.Config{VMs: func() int { return len(n.world.State().VMs) }, Team: n.team, Slack: s.RateSlack})
 	n.server = serve.New(serve.Config{
 		Domain: s.Domain, World: n.world, Pool: n.pool, Samples: n.samples, Track: n.track, Limiter: n.limiter,
 		Phrases: platform.Phrases{}, Log: config.Log, Metrics: config.Scope, RetryDetail: platform.RetryDetail,
 	})
 	n.follower = watch.New(watch.Config{
-		Open: func() model.Rows { return platform.NewStore(s.Store) }, World: n.world, Log: config.Log,
+		Open: config.OpenRows, World: n.world, Log: config.Log,
 		Settings: platform.TableSettings, Instances: platform.TableInstances, SettingsKey: platform.KeySettings,
 		DecodePolicy: platform.DecodePolicy, DecodeInstance: platform.DecodeInstance,
 	})
 	self := world.VM{Name: s.VM, Domain: s.Domain, Peers: s.Peers, Gossip: n.gossipAddress(), Boot: n.boot}
-	n.register = &peers.Register{Self: self, Rows: platform.NewStore(s.Store), World: n.world, Log: config.Log}
+	n.register = &peers.Register{Self: self, Rows: config.OpenRows(), World: n.world, Log: config.Log}
 	return n
 }
 
@@ -129,7 +133,7 @@
 	s := n.config.Settings
 	return orders.New(orders.Config{
 		Self: s.VM, Boot: n.boot, World: n.world, Track: n.track, Server: n.server, Client: peers.NewClient(), Local: n,
-		Dialer: platform.Dialer{}, Rows: platform.NewStore(s.Store), Promotions: platform.NewPromotions(s.Promotions),
+		Dialer: n.config.Dialer, Rows: n.config.OpenRows(), Promotions: n.config.Promotions,
 		LeaseBound: leaseBound, Log: n.config.Log, Metrics: n.config.Scope,
 	})
 }
--- /dev/null
+++ b/sess/outcome_test.go
@@ -0,0 +1,74 @@
+package sess
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/model"
+)
+
+func TestUnansweredPromisesNothingThatMayBeFalse(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		step      Step
+		outOfTime bool
+		want      model.Fault
+	}{
+		{"single write", Step{Kind: StepWrite}, false, model.FaultUncertain},
+		{"single write out of time", Step{Kind: StepWrite}, true, model.FaultUncertain},
+		{"commit of writes", Step{Kind: StepCommit, Wrote: true}, false, model.FaultUncertain},
+		{"commit of nothing", Step{Kind: StepCommit}, false, model.FaultAborted},
+		{"write inside a transaction", Step{Kind: StepInside, Wrote: true}, false, model.FaultAborted},
+		{"read out of time", Step{Kind: StepRead}, true, model.FaultTimeout},
+		{"read", Step{Kind: StepRead}, false, model.FaultFailed},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, Unanswered(c.step, c.outOfTime)) })
+	}
+}
+
+func TestAnsweredKeepsPromisesTrue(t *testing.T) {
+	done := model.Reply{Proof: "7.1", Rows: []string{"x"}, State: model.TxNone}
+	for _, c := range []struct {
+		name   string
+		step   Step
+		reply  model.Reply
+		leased bool
+		want   model.Fault
+	}{
+		{"success", Step{Kind: StepWrite}, done, true, ""},
+		{"commit after the lease ended", Step{Kind: StepCommit, Wrote: true}, done, false, model.FaultUncertain},
+		{"write after the lease ended", Step{Kind: StepWrite}, done, false, model.FaultUncertain},
+		{"read after the lease ended", Step{Kind: StepRead}, done, false, ""},
+		{"success without proof of a write", Step{Kind: StepWrite}, model.Reply{}, true, model.FaultUncertain},
+		{"success without proof of a read", Step{Kind: StepRead}, model.Reply{}, true, model.FaultFailed},
+		{"busy", Step{Kind: StepWrite}, model.Reply{Fault: model.FaultBusy}, true, model.FaultBusy},
+		{"misdirected inside a transaction", Step{Kind: StepInside}, model.Reply{Fault: model.FaultMisdirected}, true, model.FaultAborted},
+		{"statement unknown to the connection", Step{Kind: StepRead}, model.Reply{Fault: model.FaultNoStatement}, true, model.FaultBusy},
+		{"unknown word at a write", Step{Kind: StepWrite}, model.Reply{Fault: model.FaultOther}, true, model.FaultUncertain},
+		{"failed", Step{Kind: StepWrite}, model.Reply{Fault: model.FaultFailed}, true, model.FaultFailed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.want, Answered(c.step, c.reply, c.leased).Fault)
+		})
+	}
+}
+
+func TestSeenBelongsToAGroup(t *testing.T) {
+	s := New()
+	s.Committed("a", model.Mark{Term: 1, Position: 5})
+	s.Committed("a", model.Mark{Term: 1, Position: 4})
+	require.Equal(t, model.Mark{Term: 1, Position: 5}, s.Seen("a"))
+	require.Zero(t, s.Seen("b"))
+	s.Committed("b", model.Mark{Term: 1, Position: 2})
+	require.Equal(t, model.Mark{Term: 1, Position: 2}, s.Seen("b"))
+}
+
+func TestSetLeavesOlderMapsAlone(t *testing.T) {
+	s := New()
+	s.Set("zone", "a")
+	held := s.Values
+	s.Set("zone", "b")
+	require.Equal(t, "a", held["zone"])
+	require.Equal(t, "b", s.Values["zone"])
+}
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -8,8 +8,15 @@
 	"github.com/crocusshore/crocusshore/policy"
 )
 
-// remember is how long the demand that another VM told counts; a VM that is cut off goes on using its part for as long.
-const remember = 15 * time.Second
+const (
+	// remember is how long the demand that another VM told counts; a VM that is cut off goes on using its part for as long.
+	remember = 15 * time.Second
+	// settled is how old a report of this VM must be before the VM itself relies on it: by then all others know it, so that
+	// parts never add up to more than the rate while demand rises everywhere at once.
+	settled = 2200 * time.Millisecond
+	// keepReports bounds the reports of this VM that are kept.
+	keepReports = 8
+)
 
 type (
 	// Report is the demand that a VM tells to the others, in operations a second.
@@ -22,6 +29,8 @@
 	Config struct {
 		// VMs returns how many VMs there are.
 		VMs func() int
+		// Team returns the limits of a team, and whether it exists.
+		Team func(name model.TeamName) (policy.Team, bool)
 		// Slack is how many operations above rate and burst the fleet may run in a window; it gives each VM a burst of its own.
 		Slack float64
 	}
@@ -34,6 +43,8 @@
 		mu      sync.Mutex
 		teams   map[model.TeamName]*team
 		reports map[model.VMID]told
+		// own are the reports of this VM, oldest first.
+		own []told
 	}
 
 	told struct {
@@ -56,17 +67,38 @@
 func (l *Limiter) Admit(now time.Time, limits policy.Team) (retryAfter time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.teams[limits.Name]
+	t := l.team(limits.Name)
+	part, _ := l.refill(now, limits, t)
+	t.demand.count(now)
+	return t.bucket.take(part)
+}
+
+func (l *Limiter) team(name model.TeamName) *team {
+	t := l.teams[name]
 	if t == nil {
 		t = &team{bucket: bucket{at: l.started}}
-		l.teams[limits.Name] = t
+		l.teams[name] = t
 	}
+	return t
+}
+
+// refill brings a team's bucket to the present and returns the part of the rate and the size that it has.
+func (l *Limiter) refill(now time.Time, limits policy.Team, t *team) (part, size float64) {
 	vms := l.config.VMs()
-	part := Split(limits.Rate, t.demand.read(now), l.others(now, limits.Name), vms)
-	t.demand.count(now)
-	size := Size(limits, l.config.Slack, part, vms)
+	part = Split(limits.Rate, l.settled(now, limits.Name), l.others(now, limits.Name), vms)
+	size = Size(limits, l.config.Slack, part, vms)
 	t.bucket.refill(now, part, size)
-	return t.bucket.take(part)
+	return part, size
+}
+
+// settled returns the demand of this VM as all others know it.
+func (l *Limiter) settled(now time.Time, name model.TeamName) float64 {
+	for i := len(l.own) - 1; i >= 0; i-- {
+		if now.Sub(l.own[i].at) >= settled {
+			return l.own[i].report.Demand[name]
+		}
+	}
+	return 0
 }
 
 // others returns what the other VMs told that they are asked for.
@@ -92,7 +124,7 @@
 // leastTold is the demand below which a team is left out of a report.
 const leastTold = 0.05
 
-// Report returns the demand of this VM.
+// Report returns the demand of this VM, which is about to be told to the others.
 func (l *Limiter) Report(now time.Time, self model.VMID) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -102,5 +134,9 @@
 			report.Demand[name] = float64(int(demand*100)) / 100
 		}
 	}
+	l.own = append(l.own, told{report: report, at: now})
+	if len(l.own) > keepReports {
+		l.own = l.own[1:]
+	}
 	return report
 }
--- a/share/meter.go
+++ b/share/meter.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// meterTime is the time constant of the demand, the same as the interval at which it is told to other VMs.
-const meterTime = time.Second
+// meterTime is the time constant of the demand; it spans several intervals at which the demand is told to other VMs.
+const meterTime = 4 * time.Second
 
 // meter is an exponentially weighted rate of events.
 type meter struct {
--- a/share/split.go
+++ b/share/split.go
@@ -23,7 +23,7 @@
 	// usedSlack is the share of the slack that is given out.
 	usedSlack = 0.9
 	// evenShare of the burst is divided evenly and the rest by the parts of the rate.
-	evenShare = 0.5
+	evenShare = 0.4
 )
 
 // Size returns the burst of a VM that uses a part of a team's rate; the bursts of all VMs add up to the team's burst and the slack.
--- /dev/null
+++ b/stand/rows.go
@@ -0,0 +1,209 @@
+package stand
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/crocusshore/crocusshore/model"
+)
+
+// maxHistory bounds how many changes a feed remembers.
+const maxHistory = 10_000
+
+type (
+	// Rows stands in for the platform's store of rows with versions and a change feed.
+	Rows struct {
+		mu      sync.Mutex
+		changed *sync.Cond
+		started time.Time
+		version int64
+		rows    map[model.TableName]map[string]model.StoredRow
+		history []model.StoredRow
+		// forgotten is the version up to which the history is gone.
+		forgotten int64
+		faults    RowsFaults
+	}
+
+	// RowsFaults is how a store misbehaves.
+	RowsFaults struct {
+		// Away refuses all calls, and AwayFor those of some clients.
+		Away    bool
+		AwayFor map[string]bool
+		// LoseAnswers is the share of the changes that are made and not answered.
+		LoseAnswers float64
+		// Latency delays each call.
+		Latency time.Duration
+	}
+
+	// RowsClient is the store as one client sees it.
+	RowsClient struct {
+		rows *Rows
+		name string
+	}
+)
+
+// NewRows returns an empty store.
+func NewRows() *Rows {
+	r := &Rows{started: time.Now(), rows: map[model.TableName]map[string]model.StoredRow{}}
+	r.changed = sync.NewCond(&r.mu)
+	return r
+}
+
+// Client returns the store for a client, whose name the faults refer to.
+func (r *Rows) Client(name string) *RowsClient { return &RowsClient{rows: r, name: name} }
+
+// SetFaults changes how the store misbehaves.
+func (r *Rows) SetFaults(faults RowsFaults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = faults
+	r.changed.Broadcast()
+}
+
+// Forget drops the history.
+func (r *Rows) Forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history, r.forgotten = nil, r.version
+	r.changed.Broadcast()
+}
+
+// Put writes a row as the operator or an instance would.
+func (r *Rows) Put(table model.TableName, key string, value []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	r.put(model.StoredRow{Table: table, Key: key, Value: value, Version: r.version})
+	r.changed.Broadcast()
+}
+
+// Delete removes a row as an instance would.
+func (r *Rows) Delete(table model.TableName, key string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	r.put(model.StoredRow{Table: table, Key: key, Version: r.version, Removed: true})
+	r.changed.Broadcast()
+}
+
+// Row returns a row.
+func (r *Rows) Row(table model.TableName, key string) model.StoredRow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rows[table][key]
+}
+
+func (r *Rows) put(row model.StoredRow) {
+	if r.rows[row.Table] == nil {
+		r.rows[row.Table] = map[string]model.StoredRow{}
+	}
+	if row.Removed {
+		delete(r.rows[row.Table], row.Key)
+	} else {
+		r.rows[row.Table][row.Key] = row
+	}
+	r.history = append(r.history, row)
+	if len(r.history) > maxHistory {
+		r.forgotten = r.history[0].Version
+		r.history = r.history[1:]
+	}
+}
+
+func (r *Rows) away(name string) bool { return r.faults.Away || r.faults.AwayFor[name] }
+
+// enter delays a call and tells whether it is served.
+func (c *RowsClient) enter(ctx context.Context) error {
+	c.rows.mu.Lock()
+	latency := c.rows.faults.Latency
+	c.rows.mu.Unlock()
+	select {
+	case <-time.After(latency):
+	case <-ctx.Done():
+		return model.ErrAway
+	}
+	c.rows.mu.Lock()
+	defer c.rows.mu.Unlock()
+	if c.rows.away(c.name) {
+		return model.ErrAway
+	}
+	return nil
+}
+
+// Rows returns a table.
+func (c *RowsClient) Rows(ctx context.Context, table model.TableName) (model.RowsPage, error) {
+	if err := c.enter(ctx); err != nil {
+		return model.RowsPage{}, err
+	}
+	c.rows.mu.Lock()
+	defer c.rows.mu.Unlock()
+	page := c.rows.page()
+	for _, row := range c.rows.rows[table] {
+		page.Rows = append(page.Rows, row)
+	}
+	return page, nil
+}
+
+func (r *Rows) page() model.RowsPage {
+	return model.RowsPage{Version: r.version, StoreTime: time.Since(r.started)}
+}
+
+// Feed waits for changes of a table.
+func (c *RowsClient) Feed(ctx context.Context, table model.TableName, after int64, wait time.Duration) (model.RowsPage, error) {
+	if err := c.enter(ctx); err != nil {
+		return model.RowsPage{}, err
+	}
+	until := time.Now().Add(wait)
+	wake := time.AfterFunc(wait, c.rows.changed.Broadcast)
+	defer wake.Stop()
+	stop := context.AfterFunc(ctx, c.rows.changed.Broadcast)
+	defer stop()
+	c.rows.mu.Lock()
+	defer c.rows.mu.Unlock()
+	for {
+		if c.rows.away(c.name) || ctx.Err() != nil {
+			return model.RowsPage{}, model.ErrAway
+		}
+		if after < c.rows.forgotten {
+			return model.RowsPage{}, model.ErrHistoryGone
+		}
+		page := c.rows.page()
+		for _, row := range c.rows.history {
+			if row.Table == table && row.Version > after {
+				page.Rows = append(page.Rows, row)
+			}
+		}
+		if len(page.Rows) > 0 || !time.Now().Before(until) {
+			return page, nil
+		}
+		c.rows.changed.Wait()
+	}
+}
+
+// Apply performs a change.
+func (c *RowsClient) Apply(ctx context.Context, change model.Change) (int64, error) {
+	if err := c.enter(ctx); err != nil {
+		return 0, err
+	}
+	r := c.rows
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, expected := range change.Expected {
+		if r.rows[expected.Table][expected.Key].Version != expected.Version {
+			return 0, model.ErrConflict
+		}
+	}
+	r.version++
+	for _, row := range change.Writes {
+		r.put(model.StoredRow{Table: row.Table, Key: row.Key, Value: row.Value, Version: r.version})
+	}
+	for _, row := range change.Deletes {
+		r.put(model.StoredRow{Table: row.Table, Key: row.Key, Version: r.version, Removed: true})
+	}
+	r.changed.Broadcast()
+	if rand.Float64() < r.faults.LoseAnswers {
+		return 0, model.ErrUncertain
+	}
+	return r.version, nil
+}
