A primary that answers hands over before it is replaced, and a departed replica counts

A leaving replica in the failure domain of the primary confirmed commits and left; the domain had been cut off, so the two other replicas lacked them. Later a resumed run compared just these two and promoted one, although the primary answered again with all commits. Ruled out: two holders (one fence at a time), and the demoted primary as a source (replicas stayed at 2.575 while it had 2.589: a demoted instance does not send its log, and the replicas were still paused by the first run). Change: a primary that answers is waited for until a replica has its whole log, after pauses of earlier runs were lifted, and only then demoted; where none gets there it is kept. A replica that left less than 20 s ago counts as one that does not answer. Rows of VMs that did not confirm are deleted once the lease is over, so that the next run does not wait for them.

--- a/elect/choose.go
+++ b/elect/choose.go
@@ -24,19 +24,21 @@
 		Releases []Release
 		// AllReleased tells that every registered VM confirmed.
 		AllReleased bool
+		// Departed tells that a replica left lately; a commit may have been acknowledged because of it alone.
+		Departed bool
 	}
 )
 
 // Choose returns the replica that takes over; false means that an acknowledged commit could be lost.
 //
 // A commit is acknowledged once one replica received it. So the furthest of all replicas has every one, if all were stopped
-// before they were compared. Otherwise the furthest must have everything that any VM knows to be acknowledged.
+// before they were compared and none took its log away. Otherwise the furthest must have everything that any VM knows to be acknowledged.
 func Choose(e Evidence) (Replica, bool) {
 	best, found := furthest(e.Replicas)
 	if !found {
 		return Replica{}, false
 	}
-	if allStopped(e.Replicas) {
+	if AllStopped(e.Replicas) && !e.Departed {
 		return best, true
 	}
 	known := highest(e.Releases)
@@ -61,7 +63,8 @@
 	return best, found
 }
 
-func allStopped(replicas []Replica) bool {
+// AllStopped tells whether every replica is stopped.
+func AllStopped(replicas []Replica) bool {
 	for _, r := range replicas {
 		if !r.Stopped {
 			return false
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-func TestConfirmed(t *testing.T) {
+func TestJudge(t *testing.T) {
 	reached := Opinion{Reached: true, CommitAge: -1}
 	failed := Opinion{CommitAge: -1}
 	stuck := Opinion{Reached: true, StuckFor: time.Second, CommitAge: -1}
@@ -57,16 +57,16 @@
 	for _, c := range []struct {
 		name     string
 		opinions []Opinion
-		want     bool
+		want     Verdict
 	}{
-		{"only this VM is cut off", []Opinion{failed, reached, reached}, false},
-		{"nobody reaches it", []Opinion{failed, failed, failed}, true},
-		{"most do not reach it", []Opinion{failed, failed, reached}, true},
-		{"cut from its replicas", []Opinion{stuck, reached, reached}, true},
-		{"commits answered elsewhere", []Opinion{stuck, committing, reached}, false},
-		{"alone", []Opinion{failed}, true},
+		{"only this VM is cut off", []Opinion{failed, reached, reached}, VerdictKeep},
+		{"nobody reaches it", []Opinion{failed, failed, failed}, VerdictUnreachable},
+		{"most do not reach it", []Opinion{failed, failed, reached}, VerdictUnreachable},
+		{"cut from its replicas", []Opinion{stuck, reached, reached}, VerdictStuck},
+		{"commits answered elsewhere", []Opinion{stuck, committing, reached}, VerdictKeep},
+		{"alone", []Opinion{failed}, VerdictUnreachable},
 	} {
-		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, Confirmed(c.opinions)) })
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, Judge(c.opinions)) })
 	}
 }
 
@@ -93,6 +93,15 @@
 			Evidence{Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}, Releases: []Release{{Known: mark(1, 5)}}},
 			"",
 		},
+		{
+			// Found by a hunt on ladica-split (scale-2, seed 421463716631): a leaving replica in the failure domain of the primary
+			// confirmed commits, left, and the others had been cut off from both.
+			"a replica left lately and the others do not have all that a VM knows",
+			Evidence{Replicas: []Replica{replica("a", true, 73), replica("b", true, 73)}, Departed: true, AllReleased: true, Releases: []Release{{Known: mark(1, 90)}}},
+			"",
+		},
+		{"a replica left lately and a VM did not confirm", Evidence{Replicas: []Replica{replica("a", true, 73)}, Departed: true, Releases: []Release{{Known: mark(1, 73)}}}, ""},
+		{"a replica left lately and nothing is missing", Evidence{Replicas: []Replica{replica("a", true, 73)}, Departed: true, AllReleased: true, Releases: []Release{{Known: mark(1, 73)}}}, "a"},
 		{"none answers", Evidence{Replicas: []Replica{replica("a", false, 0)}}, ""},
 		{"none is there", Evidence{}, ""},
 	} {
--- a/elect/need.go
+++ b/elect/need.go
@@ -85,9 +85,20 @@
 	CommitAge time.Duration
 }
 
-// Confirmed tells whether the opinions call for another primary: most VMs cannot reach it, or commits are stuck on some VM and
-// answered on none.
-func Confirmed(opinions []Opinion) bool {
+// Verdict is what the opinions on a primary come to.
+type Verdict string
+
+const (
+	// VerdictKeep means that the primary leads on.
+	VerdictKeep Verdict = "Keep"
+	// VerdictUnreachable means that most VMs cannot reach it.
+	VerdictUnreachable Verdict = "Unreachable"
+	// VerdictStuck means that it answers, while commits are stuck on some VM and answered on none.
+	VerdictStuck Verdict = "Stuck"
+)
+
+// Judge tells whether the opinions call for another primary.
+func Judge(opinions []Opinion) Verdict {
 	reached, stuck, committing := 0, false, false
 	for _, o := range opinions {
 		if o.Reached {
@@ -96,5 +107,12 @@
 		stuck = stuck || o.StuckFor >= stuckAfter
 		committing = committing || (o.CommitAge >= 0 && o.CommitAge < lateAnswer)
 	}
-	return reached*2 < len(opinions) || (stuck && !committing)
+	switch {
+	case reached*2 < len(opinions):
+		return VerdictUnreachable
+	case stuck && !committing:
+		return VerdictStuck
+	default:
+		return VerdictKeep
+	}
 }
--- a/orders/keep.go
+++ b/orders/keep.go
@@ -23,8 +23,7 @@
 	if !r.fresh || !r.oldKnown || r.planned || now.Sub(r.announcedAt) < keepAfter {
 		return false
 	}
-	state, err := r.s.status(r.old)
-	return err == nil && state.Role == model.RolePrimary && state.Term == r.lead.Term
+	return r.answers()
 }
 
 // keep lets the replicas receive again and takes the announcement back.
--- a/orders/replace.go
+++ b/orders/replace.go
@@ -28,6 +28,8 @@
 	replaceTime = 15 * time.Second
 	// opinionTimeout bounds the question what others see of a primary.
 	opinionTimeout = 500 * time.Millisecond
+	// askPause is the pause between two questions to VMs or replicas that did not answer.
+	askPause = 200 * time.Millisecond
 	// leadTime bounds the wait for a promoted instance to lead.
 	leadTime = 2500 * time.Millisecond
 )
@@ -43,10 +45,15 @@
 	planned  bool
 	// fresh tells that nobody can have ordered a promotion for this intent before.
 	fresh bool
+	// stuck tells that the old primary answers and cannot commit.
+	stuck bool
 	// announcedAt is when the intent was known to be in the store, and pausedAt when the replicas were stopped.
 	announcedAt time.Time
 	pausedAt    time.Time
 	releases    map[model.VMID]elect.Release
+	// replicas are the replicas as they were last seen, at lookedAt.
+	replicas []elect.Replica
+	lookedAt time.Time
 }
 
 // replace gives a group another primary, if that is confirmed to be needed.
@@ -54,8 +61,13 @@
 	ctx, cancel := context.WithTimeout(ctx, replaceTime)
 	defer cancel()
 	old, lead, registered := s.config.World.State().Primary(group)
-	if need == elect.KindSuspected && !s.confirmed(ctx, group) {
-		return nil
+	stuck := false
+	if need == elect.KindSuspected {
+		verdict := s.opinions(ctx, group)
+		if verdict == elect.VerdictKeep {
+			return nil
+		}
+		stuck = verdict == elect.VerdictStuck
 	}
 	held, err := s.duty.claim(ctx)
 	if err != nil {
@@ -64,7 +76,10 @@
 	defer s.duty.release(context.WithoutCancel(ctx))
 	r := &replacement{
 		s: s, group: group, old: old, oldKnown: registered, lead: lead, duty: held,
-		planned: need == elect.KindPlanned, releases: map[model.VMID]elect.Release{},
+		planned: need == elect.KindPlanned, stuck: stuck, releases: map[model.VMID]elect.Release{},
+	}
+	if r.planned {
+		r.awaitNear(ctx)
 	}
 	startedAt := clock.Now()
 	if err := r.run(ctx); err != nil {
@@ -74,15 +89,15 @@
 	return nil
 }
 
-// confirmed asks the other VMs whether the primary has to be replaced.
-func (s *Supervisor) confirmed(ctx context.Context, group model.GroupName) bool {
+// opinions asks the other VMs whether the primary has to be replaced.
+func (s *Supervisor) opinions(ctx context.Context, group model.GroupName) elect.Verdict {
 	ctx, cancel := context.WithTimeout(ctx, opinionTimeout)
 	defer cancel()
 	opinions := s.config.Client.Opinions(ctx, s.config.World.State().Others(s.config.Self), group)
 	opinions = append(opinions, s.config.Local.Opinion(peers.OpinionRequest{Group: group}))
-	confirmed := elect.Confirmed(opinions)
-	s.config.Log.Info("opinions on a primary", "group", group, "confirmed", confirmed, "opinions", opinions)
-	return confirmed
+	verdict := elect.Judge(opinions)
+	s.config.Log.Info("opinions on a primary", "group", group, "verdict", verdict, "opinions", opinions)
+	return verdict
 }
 
 func (r *replacement) run(ctx context.Context) error {
@@ -216,22 +231,33 @@
 }
 
 // choose waits until a replica can take over without losing an acknowledged commit.
+//
+// A primary that still answers is demoted first, and a replica that has its whole log takes over. Otherwise all replicas are
+// stopped and compared. Either way every lease on the old primary must be over.
 func (r *replacement) choose(ctx context.Context) (model.Instance, error) {
-	var final model.Mark
-	if r.planned && r.released() {
-		state, err := r.demote()
-		if err == nil {
-			final = state.Received
-		}
+	target, handedOver, err := r.handOver(ctx)
+	if err != nil {
+		return model.Instance{}, err
 	}
-	for {
-		if target, ok := r.candidate(final); ok {
+	for askedAt := r.announcedAt; ; {
+		now := clock.Now()
+		if handedOver && r.released() {
 			return target, nil
 		}
-		if final == (model.Mark{}) && r.mayKeep(clock.Now()) {
+		r.pause(now)
+		if r.expired(now) {
+			if handedOver {
+				return target, nil
+			}
+			if chosen, ok := r.compare(now); ok {
+				return chosen, nil
+			}
+		}
+		if r.mayKeep(now) {
 			return model.Instance{}, errKept
 		}
-		if !r.released() {
+		if !r.released() && now.Sub(askedAt) >= askPause {
+			askedAt = now
 			r.release(ctx)
 		}
 		if !retry.Sleep(ctx, stepPause) {
@@ -240,40 +266,32 @@
 	}
 }
 
-// demote stops writes at a primary that still answers.
-func (r *replacement) demote() (model.InstanceState, error) {
-	state, err := r.s.order(r.old, func(link model.Link, deadline time.Time) (model.InstanceState, error) {
-		return link.Demote(deadline, r.lead.Next.Term)
-	})
-	r.s.config.Log.Info("old primary demoted", "group", r.group, "instance", r.old.Name, "term", r.lead.Next.Term, "received", state.Received, "error", err)
-	return state, err
-}
-
-// candidate looks at the replicas: with the final position of the old primary known, one that has it takes over; otherwise all
-// are stopped and compared.
-func (r *replacement) candidate(final model.Mark) (model.Instance, bool) {
-	if final != (model.Mark{}) {
-		return elect.CaughtUp(r.inspect(model.Link.Status), final)
+// pause stops the replicas, once as many as answer and then those that are missing.
+func (r *replacement) pause(now time.Time) {
+	if !r.lookedAt.IsZero() && now.Sub(r.lookedAt) < askPause {
+		return
 	}
-	now := clock.Now()
-	if !r.pausedAt.IsZero() && !r.expired(now) {
-		return model.Instance{}, false
+	if !r.pausedAt.IsZero() && elect.AllStopped(r.replicas) {
+		return
 	}
-	replicas := r.inspect(func(link model.Link, deadline time.Time) (model.InstanceState, error) {
+	r.lookedAt = now
+	r.replicas = r.inspect(func(link model.Link, deadline time.Time) (model.InstanceState, error) {
 		return link.Pause(deadline, r.lead.Next.Term)
 	})
-	if r.pausedAt.IsZero() && elect.Stopped(replicas) {
+	if r.pausedAt.IsZero() && elect.Stopped(r.replicas) {
 		r.pausedAt = clock.Now()
 	}
-	if !r.expired(clock.Now()) {
-		return model.Instance{}, false
-	}
-	evidence := elect.Evidence{Replicas: replicas, AllReleased: r.released()}
+}
+
+// compare returns the replica that has every acknowledged commit, if that is certain.
+func (r *replacement) compare(now time.Time) (model.Instance, bool) {
+	evidence := elect.Evidence{Replicas: r.replicas, AllReleased: r.released(), Departed: r.s.config.World.Departed(now, r.group)}
 	for _, release := range r.releases {
 		evidence.Releases = append(evidence.Releases, release)
 	}
 	chosen, ok := elect.Choose(evidence)
-	r.s.config.Log.Info("replicas compared", "group", r.group, "chosen", chosen.Instance.Name, "safe", ok, "replicas", describe(replicas), "released", len(r.releases))
+	r.s.config.Log.Info("replicas compared", "group", r.group, "chosen", chosen.Instance.Name, "safe", ok, "replicas", describe(r.replicas),
+		"released", len(r.releases), "departed", evidence.Departed)
 	return chosen.Instance, ok
 }
 
@@ -365,6 +383,7 @@
 	if err != nil {
 		return err
 	}
+	r.removeSilent(ctx)
 	if !r.oldKnown {
 		return nil
 	}
@@ -373,3 +392,18 @@
 	}
 	return nil
 }
+
+// removeSilent deletes the rows of VMs that did not confirm, so that the next replacement does not wait for them; a VM that lives
+// registers again and uses no primary before.
+func (r *replacement) removeSilent(ctx context.Context) {
+	for name, vm := range r.s.config.World.State().VMs {
+		if _, done := r.releases[name]; done {
+			continue
+		}
+		row, err := vm.Row()
+		if err == nil {
+			_, err = r.s.config.Rows.Apply(ctx, model.Change{Expected: []model.StoredRow{row}, Deletes: []model.StoredRow{row}})
+		}
+		r.s.config.Log.Info("silent VM removed from the table", "vm", name, "row", vm.Version, "error", err)
+	}
+}
--- a/watch/follower.go
+++ b/watch/follower.go
@@ -246,6 +246,7 @@
 }
 
 func (f *Follower) ingestInstances(page model.RowsPage, whole bool) {
+	known := f.config.World.State().Instances
 	var present []model.Instance
 	var gone []model.InstanceName
 	for _, r := range page.Rows {
@@ -262,6 +263,9 @@
 			continue
 		}
 		present = append(present, i)
+		if known[i.Name] == i {
+			continue // A whole table repeats what did not change.
+		}
 		f.config.Log.Info("instance registered", "instance", i.Name, "group", i.Group, "domain", i.Domain, "role", i.Role, "leaving", i.Leaving, "row", r.Version)
 	}
 	for _, name := range f.config.World.SetInstances(page.Version, whole, present, gone) {
@@ -271,7 +275,7 @@
 
 // forget drops an instance whose registration did not come back.
 func (f *Follower) forget(name model.InstanceName) {
-	if f.config.World.Forget(name) {
+	if f.config.World.Forget(clock.Now(), name) {
 		f.config.Log.Info("instance forgotten", "instance", name)
 	}
 }
--- a/world/world.go
+++ b/world/world.go
@@ -37,6 +37,8 @@
 		revoked map[model.GroupName]int64
 		// lapsed holds the instances whose registration is gone.
 		lapsed map[model.InstanceName]bool
+		// departed holds when a replica of a group was last forgotten.
+		departed map[model.GroupName]time.Time
 	}
 )
 
@@ -48,6 +50,7 @@
 		witnessedAt:   map[model.GroupName]time.Time{},
 		revoked:       map[model.GroupName]int64{},
 		lapsed:        map[model.InstanceName]bool{},
+		departed:      map[model.GroupName]time.Time{},
 	}
 	w.state.Store(newState())
 	return w
@@ -116,7 +119,7 @@
 }
 
 // Forget drops an instance that lapsed and has not registered since.
-func (w *World) Forget(name model.InstanceName) bool {
+func (w *World) Forget(now time.Time, name model.InstanceName) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.lapsed[name] {
@@ -124,11 +127,25 @@
 	}
 	delete(w.lapsed, name)
 	next := w.state.Load().clone()
+	if gone, known := next.Instances[name]; known && next.Leads[gone.Group].Primary != name {
+		w.departed[gone.Group] = now
+	}
 	delete(next.Instances, name)
 	w.state.Store(next)
 	return true
 }
 
+// departedTime is how long a replica that left may be the only one that confirmed a commit: the others receive it within the lag.
+const departedTime = 20 * time.Second
+
+// Departed tells whether a replica of a group was forgotten lately.
+func (w *World) Departed(now time.Time, group model.GroupName) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, known := w.departed[group]
+	return known && now.Sub(at) < departedTime
+}
+
 // instances is the key under which the version of the registrations is kept.
 const instances model.TableName = "Instances"
 
--- a/world/world_test.go
+++ b/world/world_test.go
@@ -120,11 +120,17 @@
 	require.Equal(t, []model.InstanceName{"p"}, w.SetInstances(2, false, nil, []model.InstanceName{"p"}))
 	_, ok := w.Lease(at(10), "g")
 	require.True(t, ok)
-	require.True(t, w.Forget("p"))
+	require.True(t, w.Forget(at(15), "p"))
 	_, ok = w.Lease(at(20), "g")
 	require.False(t, ok)
-	w.SetInstances(3, false, []model.Instance{{Name: "p", Group: "g"}}, nil)
-	require.False(t, w.Forget("p"), "it registered again")
+	require.False(t, w.Departed(at(20), "g"), "it was the primary")
+	w.SetInstances(3, false, []model.Instance{{Name: "r", Group: "g"}}, nil)
+	w.SetInstances(4, false, nil, []model.InstanceName{"r"})
+	require.True(t, w.Forget(at(15), "r"))
+	require.True(t, w.Departed(at(20), "g"))
+	require.False(t, w.Departed(at(20_016), "g"))
+	w.SetInstances(5, false, []model.Instance{{Name: "p", Group: "g"}}, nil)
+	require.False(t, w.Forget(at(15), "p"), "it registered again")
 }
 
 func TestRowsThatAreNotUnderstoodAreReported(t *testing.T) {
