Leases last 2 s after a proof

Change: lease bound 3 to 2 s, slack for a late feed 1.2 to 1.0 s; readers and relays ask a little more often so that proofs stay young.

--- a/node/node.go
+++ b/node/node.go
@@ -32,7 +32,7 @@
 
 const (
 	// leaseBound is how long after a proof a primary may be used; it bridges two calls to the store and a lost one.
-	leaseBound = 3 * time.Second
+	leaseBound = 2 * time.Second
 	// exitMargin is how long before SIGKILL the process ends by itself.
 	exitMargin = 400 * time.Millisecond
 	// rotationTime is how long the balancer still sends new connections to a VM that is not ready.
--- a/orders/replace.go
+++ b/orders/replace.go
@@ -21,7 +21,7 @@
 	// releaseTimeout bounds the question to a VM, on top of the settle time.
 	releaseTimeout = 300 * time.Millisecond
 	// feedSlack is added to the lease bound for a feed that delivers the announcement late.
-	feedSlack = 1200 * time.Millisecond
+	feedSlack = 1000 * time.Millisecond
 	// stepPause is the pause between two looks at the replicas.
 	stepPause = 25 * time.Millisecond
 	// replaceTime bounds a whole replacement; what is left over is resumed.
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -21,13 +21,13 @@
 	// readers is how many VMs of a failure domain read the store for the others.
 	readers = 1
 	// relayWait is how long a reader may hold an answer back while nothing changes.
-	relayWait = 600 * time.Millisecond
+	relayWait = 400 * time.Millisecond
 	// relayTimeout bounds a question beyond the wait.
 	relayTimeout = 400 * time.Millisecond
 	// relayPause is the pause after a question that was not answered, and between questions that are not held back.
 	relayPause = 300 * time.Millisecond
 	// rescueAge is how old the copies may get before VMs of other failure domains are asked too.
-	rescueAge = 1600 * time.Millisecond
+	rescueAge = 1400 * time.Millisecond
 	// driftShare is how much faster than ours a peer's clock may run.
 	driftShare = 0.002
 )
--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -26,7 +26,7 @@
 	// sampleTimeout bounds one question.
 	sampleTimeout = 250 * time.Millisecond
 	// witnessAge is how old the proof of the table may be before the replicas are asked as witnesses.
-	witnessAge = 1700 * time.Millisecond
+	witnessAge = 1200 * time.Millisecond
 )
 
 // Refresh keeps the samples of the groups young enough for their routes, until the context ends.
--- a/watch/follower.go
+++ b/watch/follower.go
@@ -20,10 +20,10 @@
 const (
 	// settingsWait and rowsWait are how long a call waits for a change; a silent connection is noticed after it.
 	settingsWait = 2500 * time.Millisecond
-	rowsWait     = 700 * time.Millisecond
+	rowsWait     = 500 * time.Millisecond
 	// settingsAge and rowsAge are how old a copy from peers may be before the store is asked instead.
 	settingsAge = 4500 * time.Millisecond
-	rowsAge     = 1300 * time.Millisecond
+	rowsAge     = 1100 * time.Millisecond
 	// coveredPause is how often a table that peers keep current is looked at.
 	coveredPause = 100 * time.Millisecond
 	// lapseGrace is how long an instance stays in use after its registration is gone; registrations that lapsed while the
