Duty holder acts for all groups, replicas are stopped at once, shares know the failure domains, loans cover what is needed soon

After a loss of power 757 of 1,400 statements in 3 s were over the rate, because VMs of a small failure domain get more callers than an even part. Change: the holder has no rank delay, release, question and pause run side by side, a failing primary is asked again at once; parts start from the failure domain and use all reports at the same age; a VM borrows what it needs in the next half second.

--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -176,6 +176,26 @@
 	require.NoError(t, err)
 }
 
+func TestTrimClosesWhatIsBeyondAShrunkenBudget(t *testing.T) {
+	budget := 3
+	d := &fakeDialer{}
+	p := New(Config{Dialer: d, Phrases: platform.Phrases{}, Budget: func(model.Instance) int { return budget }})
+	var held []*Conn
+	for range 3 {
+		c, err := p.Get(clock.Now(), request("a", time.Second))
+		require.NoError(t, err)
+		held = append(held, c)
+	}
+	for _, c := range held[:2] {
+		p.Put(clock.Now(), c)
+	}
+	budget = 1
+	p.Trim()
+	require.True(t, d.links[0].closed)
+	require.True(t, d.links[1].closed)
+	require.False(t, d.links[2].closed, "a connection in use is not cut")
+}
+
 func TestDeadIdleConnectionIsNotUsed(t *testing.T) {
 	p, d := newPool(2)
 	c, err := p.Get(clock.Now(), request("a", time.Second))
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -194,6 +194,19 @@
 	b.idle = nil
 }
 
+// Trim closes the idle connections that are beyond the budgets, which shrink when VMs join or a primary is replaced.
+func (p *Pool) Trim() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, b := range p.buckets {
+		budget := p.config.Budget(b.instance)
+		for len(b.idle) > 0 && b.open > budget {
+			b.remove(b.oldest()).link.Close()
+			b.open--
+		}
+	}
+}
+
 // InUse returns how many connections to an instance are in use or being opened, and how many requests wait.
 func (p *Pool) InUse(name model.InstanceName) (used, waiting int) {
 	p.mu.Lock()
--- a/node/budget.go
+++ b/node/budget.go
@@ -4,6 +4,7 @@
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/policy"
+	"github.com/crocusshore/crocusshore/share"
 )
 
 // defaultConnections is how many connections an instance is believed to take while no settings name its group.
@@ -39,3 +40,12 @@
 	team, known := p.Teams[name]
 	return team, known
 }
+
+// weight returns the part of the callers that this VM expects.
+func (n *Node) weight() float64 {
+	inDomain := map[model.Domain]int{}
+	for _, vm := range n.world.State().VMs {
+		inDomain[vm.Domain]++
+	}
+	return share.Weight(len(inDomain), inDomain[n.config.Settings.Domain])
+}
--- a/node/node.go
+++ b/node/node.go
@@ -78,7 +78,7 @@
 	s := config.Settings
 	n.world = world.New(world.Config{VM: s.VM, Boot: n.boot, LeaseBound: leaseBound})
 	n.pool = conns.New(conns.Config{Dialer: config.Dialer, Phrases: platform.Phrases{}, Budget: n.budget})
-	n.limiter = share.New(clock.Now(), share.Config{VMs: func() int { return len(n.world.State().VMs) }, Team: n.team, Slack: s.RateSlack})
+	n.limiter = share.New(clock.Now(), share.Config{Weight: n.weight, Team: n.team, Slack: s.RateSlack})
 	n.server = serve.New(serve.Config{
 		Domain: s.Domain, World: n.world, Pool: n.pool, Samples: n.samples, Track: n.track, Limiter: n.limiter,
 		Phrases: platform.Phrases{}, Log: config.Log, Metrics: config.Scope, RetryDetail: platform.RetryDetail,
--- a/orders/duty.go
+++ b/orders/duty.go
@@ -116,6 +116,13 @@
 	return d.held.Fence == fence && !d.held.Released && elect.MayOrder(now, d.claimedAt)
 }
 
+// holds tells whether this VM holds the duty now.
+func (d *duty) holds(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.held.Fence > 0 && !d.held.Released && elect.MayUse(now, d.claimedAt)
+}
+
 // row returns the row under which changes are made.
 func (d *duty) row() model.StoredRow {
 	d.mu.Lock()
--- a/orders/handover.go
+++ b/orders/handover.go
@@ -40,12 +40,13 @@
 // handOver lets a replica catch up with a primary that still answers and demotes the primary. A primary that answers is kept
 // where no replica gets what it has, since a commit may have been acknowledged because of a replica that is gone.
 func (r *replacement) handOver(ctx context.Context) (model.Instance, bool, error) {
-	if !r.oldKnown || r.stuck || !r.answers() {
+	if !r.answering || r.stuck {
 		return model.Instance{}, false, nil
 	}
-	if !r.fresh {
-		// An earlier run may have paused them.
+	if !r.fresh || !r.pausedAt.IsZero() {
+		// This run or an earlier one may have paused them.
 		r.inspect(model.Link.Resume)
+		r.pausedAt, r.lookedAt, r.replicas = time.Time{}, time.Time{}, nil
 	}
 	if !r.caughtUp(ctx) {
 		return model.Instance{}, false, errKept
--- a/orders/replace.go
+++ b/orders/replace.go
@@ -27,7 +27,7 @@
 	// replaceTime bounds a whole replacement; what is left over is resumed.
 	replaceTime = 15 * time.Second
 	// opinionTimeout bounds the question what others see of a primary.
-	opinionTimeout = 500 * time.Millisecond
+	opinionTimeout = 400 * time.Millisecond
 	// askPause is the pause between two questions to VMs or replicas that did not answer.
 	askPause = 200 * time.Millisecond
 	// leadTime bounds the wait for a promoted instance to lead.
@@ -51,6 +51,8 @@
 	announcedAt time.Time
 	pausedAt    time.Time
 	releases    map[model.VMID]elect.Release
+	// answering tells that the old primary answered when it was announced that it is replaced.
+	answering bool
 	// replicas are the replicas as they were last seen, at lookedAt.
 	replicas []elect.Replica
 	lookedAt time.Time
@@ -104,7 +106,7 @@
 	if err := r.announce(ctx); err != nil {
 		return errors.Wrap(err, "announcing the replacement")
 	}
-	r.release(ctx)
+	r.stopUse(ctx)
 	if target, term, found := r.leading(); found {
 		return r.settle(ctx, target, term)
 	}
@@ -183,6 +185,20 @@
 	return found.Version, same
 }
 
+// stopUse asks every VM to stop using the old primary; unless it leaves by plan, the replicas are stopped meanwhile, since the
+// leases of VMs that do not confirm begin to run out only then.
+func (r *replacement) stopUse(ctx context.Context) {
+	var wait sync.WaitGroup
+	wait.Go(func() { r.release(ctx) })
+	if !r.planned {
+		wait.Go(func() { r.pause(clock.Now()) })
+		wait.Go(func() { r.answering = r.oldKnown && !r.stuck && r.answers() })
+	} else {
+		r.answering = r.oldKnown
+	}
+	wait.Wait()
+}
+
 // release asks every VM to stop using the old primary.
 func (r *replacement) release(ctx context.Context) {
 	settle := time.Duration(0)
--- a/orders/supervisor.go
+++ b/orders/supervisor.go
@@ -24,7 +24,7 @@
 	// lookPause is how often the primaries are judged.
 	lookPause = 60 * time.Millisecond
 	// rankDelay is how much longer each next VM waits before it acts, so that usually one does.
-	rankDelay = 500 * time.Millisecond
+	rankDelay = 250 * time.Millisecond
 	// retryDelay is the pause after a replacement that did not succeed.
 	retryDelay = 700 * time.Millisecond
 )
@@ -134,6 +134,9 @@
 
 // delay is how long this VM leaves a group to the VMs that rank before it.
 func (s *Supervisor) delay(group model.GroupName) time.Duration {
+	if s.duty.holds(clock.Now()) {
+		return 0 // Nobody else can act.
+	}
 	state := s.config.World.State()
 	vms := make([]model.VM, 0, len(state.VMs))
 	for name := range state.VMs {
--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -33,6 +33,7 @@
 func (s *Server) Refresh(ctx context.Context) {
 	for retry.Sleep(ctx, refreshPause) {
 		now := clock.Now()
+		s.config.Pool.Trim()
 		wanted, share := s.demand.wanted(now), refreshShare
 		if s.config.Reader() {
 			wanted, share = s.allowedAges(), readerShare
@@ -70,7 +71,9 @@
 	if !ok {
 		return
 	}
-	if last, known := s.config.Samples.Last(group); known && last.Mark.Term == lease.Term && now.Sub(last.At) < age {
+	last, known := s.config.Samples.Last(group)
+	failing := s.config.Track.Health(lease.Primary.Name).Failures > 0
+	if known && last.Mark.Term == lease.Term && now.Sub(last.At) < age && !failing {
 		return
 	}
 	go s.sample(lease)
--- a/share/lend.go
+++ b/share/lend.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// askBelow is the share of its size below which a bucket asks other VMs for tokens.
-	askBelow = 0.5
+	// wantTime is the own demand that a VM wants tokens for, beyond one for a first caller; below half of it, it asks for more.
+	wantTime = 500 * time.Millisecond
 	// keepTime is the own demand that a VM keeps tokens for when it lends.
-	keepTime = 1500 * time.Millisecond
-	// recentDemand is the demand from which on a VM asks at all, in operations a second.
+	keepTime = 1000 * time.Millisecond
+	// recentDemand is the demand from which on a VM wants and keeps tokens at all, in operations a second.
 	recentDemand = 0.05
 )
 
@@ -31,12 +31,17 @@
 	var wants []Loan
 	for name, t := range l.teams {
 		limits, known := l.config.Team(name)
-		if !known || t.demand.read(now) < recentDemand {
+		demand := t.demand.read(now)
+		if !known || demand < recentDemand {
 			continue
 		}
 		_, size := l.refill(now, limits, t)
-		if t.bucket.tokens < askBelow*size {
-			wants = append(wants, Loan{VM: self, Team: name, Tokens: math.Floor(size - t.bucket.tokens)})
+		if t.bucket.tokens >= 1+demand*wantTime.Seconds()/2 {
+			continue
+		}
+		enough := min(size, 1+demand*wantTime.Seconds())
+		if tokens := math.Ceil(enough - t.bucket.tokens); tokens >= 1 {
+			wants = append(wants, Loan{VM: self, Team: name, Tokens: tokens})
 		}
 	}
 	return wants
@@ -53,7 +58,10 @@
 	}
 	t := l.team(ask.Team)
 	l.refill(now, limits, t)
-	spare := t.bucket.tokens - t.demand.read(now)*keepTime.Seconds()
+	spare := t.bucket.tokens
+	if demand := t.demand.read(now); demand >= recentDemand {
+		spare -= 1 + demand*keepTime.Seconds()
+	}
 	if lent := math.Floor(min(spare, ask.Tokens)); lent >= 1 {
 		t.bucket.tokens -= lent
 		loan.Tokens = lent
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -11,10 +12,10 @@
 const (
 	// remember is how long the demand that another VM told counts; a VM that is cut off goes on using its part for as long.
 	remember = 15 * time.Second
-	// settled is how old a report of this VM must be before the VM itself relies on it: by then all others know it, so that
-	// parts never add up to more than the rate while demand rises everywhere at once.
+	// settled is how old a report must be before a VM relies on it, also on its own: by then all others know it, so that parts
+	// never add up to more than the rate while demand rises everywhere at once.
 	settled = 2200 * time.Millisecond
-	// keepReports bounds the reports of this VM that are kept.
+	// keepReports bounds the reports of a VM that are kept.
 	keepReports = 8
 )
 
@@ -27,8 +28,8 @@
 
 	// Config tells a limiter about the fleet.
 	Config struct {
-		// VMs returns how many VMs there are.
-		VMs func() int
+		// Weight returns the part of a demand that this VM expects while nothing is known; the weights of all VMs add up to 1.
+		Weight func() float64
 		// Team returns the limits of a team, and whether it exists.
 		Team func(name model.TeamName) (policy.Team, bool)
 		// Slack is how many operations above rate and burst the fleet may run in a window; it gives each VM a burst of its own.
@@ -40,11 +41,11 @@
 		config  Config
 		started time.Time
 
-		mu      sync.Mutex
-		teams   map[model.TeamName]*team
-		reports map[model.VMID]told
-		// own are the reports of this VM, oldest first.
-		own []told
+		mu    sync.Mutex
+		teams map[model.TeamName]*team
+		// reports are what each other VM told, and own what this one told, oldest first.
+		reports []reporter
+		own     history
 	}
 
 	// Verdict tells whether an operation is admitted, and what that rests on.
@@ -63,6 +64,15 @@
 		at     time.Time
 	}
 
+	// reporter is another VM with what it told lately.
+	reporter struct {
+		vm   model.VMID
+		told history
+	}
+
+	// history is what a VM told lately, oldest first.
+	history []told
+
 	team struct {
 		demand meter
 		bucket bucket
@@ -71,7 +81,7 @@
 
 // New returns a limiter whose buckets fill from now on, so that a restart grants nothing twice.
 func New(now time.Time, config Config) *Limiter {
-	return &Limiter{config: config, started: now, teams: map[model.TeamName]*team{}, reports: map[model.VMID]told{}}
+	return &Limiter{config: config, started: now, teams: map[model.TeamName]*team{}}
 }
 
 // Admit spends a token of a team, or tells when there is one.
@@ -96,32 +106,20 @@
 
 // refill brings a team's bucket to the present and returns the part of the rate and the size that it has.
 func (l *Limiter) refill(now time.Time, limits policy.Team, t *team) (part, size float64) {
-	vms := l.config.VMs()
-	part = Split(limits.Rate, l.settled(now, limits.Name), l.others(now, limits.Name), vms)
-	size = Size(limits, l.config.Slack, part, vms)
+	weight := l.config.Weight()
+	part = Split(limits.Rate, l.own.settled(now, limits.Name), l.others(now, limits.Name), weight)
+	size = Size(limits, l.config.Slack, part, weight)
 	t.bucket.refill(now, part, size)
 	return part, size
 }
 
-// settled returns the demand of this VM as all others know it.
-func (l *Limiter) settled(now time.Time, name model.TeamName) float64 {
-	for i := len(l.own) - 1; i >= 0; i-- {
-		if now.Sub(l.own[i].at) >= settled {
-			return l.own[i].report.Demand[name]
-		}
-	}
-	return 0
-}
-
 // others returns what the other VMs told that they are asked for.
 func (l *Limiter) others(now time.Time, name model.TeamName) float64 {
 	total := 0.0
-	for vm, t := range l.reports {
-		if now.Sub(t.at) > remember {
-			delete(l.reports, vm)
-			continue
+	for _, r := range l.reports {
+		if !r.told.silent(now) {
+			total += r.told.settled(now, name)
 		}
-		total += t.report.Demand[name]
 	}
 	return total
 }
@@ -130,7 +128,13 @@
 func (l *Limiter) Hear(now time.Time, report Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.reports[report.VM] = told{report: report, at: now}
+	l.reports = slices.DeleteFunc(l.reports, func(r reporter) bool { return r.vm != report.VM && r.told.silent(now) })
+	at := slices.IndexFunc(l.reports, func(r reporter) bool { return r.vm == report.VM })
+	if at < 0 {
+		at = len(l.reports)
+		l.reports = append(l.reports, reporter{vm: report.VM})
+	}
+	l.reports[at].told = l.reports[at].told.add(told{report: report, at: now})
 }
 
 // leastTold is the demand below which a team is left out of a report.
@@ -146,9 +150,29 @@
 			report.Demand[name] = float64(int(demand*100)) / 100
 		}
 	}
-	l.own = append(l.own, told{report: report, at: now})
-	if len(l.own) > keepReports {
-		l.own = l.own[1:]
-	}
+	l.own = l.own.add(told{report: report, at: now})
 	return report
 }
+
+func (h history) add(t told) history {
+	h = append(h, t)
+	if len(h) > keepReports {
+		h = h[1:]
+	}
+	return h
+}
+
+// settled returns the demand that all VMs know by now.
+func (h history) settled(now time.Time, name model.TeamName) float64 {
+	for i := len(h) - 1; i >= 0; i-- {
+		if now.Sub(h[i].at) >= settled {
+			return h[i].report.Demand[name]
+		}
+	}
+	return 0
+}
+
+// silent tells whether the VM has told nothing for so long that its demand does not count any more.
+func (h history) silent(now time.Time) bool {
+	return len(h) == 0 || now.Sub(h[len(h)-1].at) > remember
+}
--- a/share/limiter_test.go
+++ b/share/limiter_test.go
@@ -31,7 +31,7 @@
 	find := func(model.TeamName) (policy.Team, bool) { return team, true }
 	f := &simulated{domains: domains, cut: map[int]bool{}}
 	for range vms {
-		f.limiters = append(f.limiters, New(now, Config{VMs: func() int { return vms }, Slack: slack, Team: find}))
+		f.limiters = append(f.limiters, New(now, Config{Weight: func() float64 { return Weight(1, vms) }, Slack: slack, Team: find}))
 	}
 	return f
 }
@@ -143,6 +143,52 @@
 	}
 }
 
+// TestRestartOfAllVMsServesUnevenDomainsAtOnce plays the load after a loss of power: two VMs of a small failure domain get as many
+// callers as seven of another, and nobody knows any demand.
+func TestRestartOfAllVMsServesUnevenDomainsAtOnce(t *testing.T) {
+	sizes := []int{7, 4, 2}
+	team := policy.Team{Name: "team", Rate: 60, Burst: 60}
+	refused, admitted := 0, 0
+	for seed := range uint64(10) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		start := time.Unix(0, 0)
+		f := &simulated{domains: 1, cut: map[int]bool{}}
+		var shares []float64
+		for _, size := range sizes {
+			for range size {
+				weight := Weight(len(sizes), size)
+				f.limiters = append(f.limiters, New(start, Config{
+					Weight: func() float64 { return weight }, Slack: 20,
+					Team: func(model.TeamName) (policy.Team, bool) { return team, true },
+				}))
+				shares = append(shares, weight)
+			}
+		}
+		const step = 5 * time.Millisecond
+		for at := 500 * time.Millisecond; at < 4*time.Second; at += step {
+			now := start.Add(at)
+			if at%time.Second == 0 {
+				f.tell(now, 0)
+			}
+			if at%lendEvery == 0 {
+				f.lend(now, random)
+			}
+			for i, l := range f.limiters {
+				if 0.7*team.Rate*step.Seconds()*shares[i] <= random.Float64() {
+					continue
+				}
+				if l.Admit(now, team).Admitted {
+					admitted++
+				} else {
+					refused++
+				}
+			}
+		}
+	}
+	t.Logf("refused %d of %d", refused, admitted+refused)
+	require.LessOrEqual(t, float64(refused), 0.02*float64(admitted+refused))
+}
+
 func TestSplitPartsAddUpToTheRate(t *testing.T) {
 	demands := []float64{40, 3, 0.5, 12, 9}
 	sum := 0.0
@@ -152,7 +198,7 @@
 	for _, rate := range []float64{20, 64.5, 300} {
 		total := 0.0
 		for _, d := range demands {
-			total += Split(rate, d, sum-d, len(demands))
+			total += Split(rate, d, sum-d, 1/float64(len(demands)))
 		}
 		require.InDelta(t, rate, total, 0.01)
 	}
--- a/share/split.go
+++ b/share/split.go
@@ -2,33 +2,37 @@
 
 import "github.com/crocusshore/crocusshore/policy"
 
-// leastDemand is what a VM without demand counts as, in operations a second, so that a first caller is not refused.
-const leastDemand = 0.3
+// leastDemand is the demand that is counted for all VMs together where none is known, in operations a second.
+const leastDemand = 4
 
-// Split returns the part of a rate that a VM may use.
+// Split returns the part of a rate that a VM may use; weight is the part of the demand that it expects while nothing is known.
 //
-// The parts of VMs that know the same demands add up to the rate: what is not asked for is divided evenly, and where more is
-// asked for than allowed, each VM gets its part of the demand.
-func Split(rate, own, others float64, vms int) float64 {
-	vms = max(1, vms)
-	own = max(own, leastDemand)
-	total := own + max(others, leastDemand*float64(vms-1))
+// The parts of VMs that know the same demands add up to the rate: what is not asked for is divided by the weights, and where more
+// is asked for than allowed, each VM gets its part of the demand.
+func Split(rate, own, others, weight float64) float64 {
+	own += leastDemand * weight
+	total := own + others + leastDemand*(1-weight)
 	if total > rate {
 		return rate * own / total
 	}
-	return own + (rate-total)/float64(vms)
+	return own + (rate-total)*weight
+}
+
+// Weight returns what a VM expects of a demand that is divided evenly among the failure domains, as callers are sent to the VMs of
+// their own, and then among the VMs of each.
+func Weight(domains, vmsInDomain int) float64 {
+	return 1 / float64(max(1, domains)*max(1, vmsInDomain))
 }
 
 const (
 	// usedSlack is the share of the slack that is given out.
 	usedSlack = 0.9
-	// evenShare of the burst is divided evenly and the rest by the parts of the rate.
+	// evenShare of the burst is divided by the weights and the rest by the parts of the rate.
 	evenShare = 0.4
 )
 
 // Size returns the burst of a VM that uses a part of a team's rate; the bursts of all VMs add up to the team's burst and the slack.
-func Size(limits policy.Team, slack, part float64, vms int) float64 {
+func Size(limits policy.Team, slack, part, weight float64) float64 {
 	all := limits.Burst + usedSlack*slack
-	even := 1 / float64(max(1, vms))
-	return max(1, all*(evenShare*even+(1-evenShare)*part/max(limits.Rate, part, 1e-9)))
+	return max(1, all*(evenShare*weight+(1-evenShare)*part/max(limits.Rate, part, 1e-9)))
 }
