One replica that is not paused is a witness; readers that the store turns away are passed over

Asking two replicas ten times a second also cost most of the probes. Change: a promotion under VMs that did not confirm now needs all replicas stopped, also when a primary hands over, and checks before the order that none restarted, which would end its pause. So one replica suffices as a witness, the near one first, and it is asked only when the last proof is old. A VM whose reader does not keep it current goes on to the VM that ranks next.

--- a/commands/run.go
+++ b/commands/run.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+
+	"github.com/crocusshore/crocusshore/node"
 )
 
 // errQuiet ends the program with a failure that was reported already.
@@ -37,6 +39,7 @@
 		Usage: "a database proxy with session consistency",
 		Commands: []*cli.Command{
 			entryCommand(),
+			node.Command(),
 			standinCommand(),
 			demoCommand(),
 			settingsCommand(),
--- a/elect/choose.go
+++ b/elect/choose.go
@@ -7,7 +7,9 @@
 	Replica struct {
 		Instance model.Instance
 		// Stopped tells that the replica receives nothing of the old term any more.
-		Stopped  bool
+		Stopped bool
+		// Held is the term for which the replica was stopped, as it answered.
+		Held     model.Term
 		Received model.Mark
 	}
 
@@ -102,3 +104,13 @@
 	}
 	return model.Instance{}, false
 }
+
+// Kept returns the replicas of which those that are not held for a term any more, since they restarted, count as not stopped.
+func Kept(replicas []Replica, term model.Term) []Replica {
+	kept := make([]Replica, len(replicas))
+	for i, r := range replicas {
+		r.Stopped = r.Stopped && r.Held >= term
+		kept[i] = r
+	}
+	return kept
+}
--- a/orders/replace.go
+++ b/orders/replace.go
@@ -261,7 +261,7 @@
 			return target, nil
 		}
 		r.pause(now)
-		if r.expired(now) {
+		if r.expired(now) && r.stillStopped() {
 			if handedOver {
 				return target, nil
 			}
@@ -287,18 +287,29 @@
 	if !r.lookedAt.IsZero() && now.Sub(r.lookedAt) < askPause {
 		return
 	}
-	if !r.pausedAt.IsZero() && elect.AllStopped(r.replicas) {
+	if elect.AllStopped(r.replicas) && len(r.replicas) > 0 {
 		return
 	}
 	r.lookedAt = now
 	r.replicas = r.inspect(func(link model.Link, deadline time.Time) (model.InstanceState, error) {
 		return link.Pause(deadline, r.lead.Next.Term)
 	})
-	if r.pausedAt.IsZero() && elect.Stopped(r.replicas) {
+	if r.pausedAt.IsZero() && elect.AllStopped(r.replicas) {
 		r.pausedAt = clock.Now()
 	}
 }
 
+// stillStopped tells whether the replicas can be compared: with VMs that did not confirm, none may have restarted since it was
+// stopped, which ends a pause. Otherwise the wait begins anew.
+func (r *replacement) stillStopped() bool {
+	r.replicas = elect.Kept(r.inspect(model.Link.Status), r.lead.Next.Term)
+	if r.released() || elect.AllStopped(r.replicas) {
+		return true
+	}
+	r.pausedAt, r.lookedAt = time.Time{}, time.Time{}
+	return false
+}
+
 // compare returns the replica that has every acknowledged commit, if that is certain.
 func (r *replacement) compare(now time.Time) (model.Instance, bool) {
 	evidence := elect.Evidence{Replicas: r.replicas, AllReleased: r.released(), Departed: r.s.config.World.Departed(now, r.group)}
@@ -324,7 +335,7 @@
 			state, err := r.s.order(instance, run)
 			mu.Lock()
 			defer mu.Unlock()
-			replicas = append(replicas, elect.Replica{Instance: instance, Stopped: err == nil, Received: state.Received})
+			replicas = append(replicas, elect.Replica{Instance: instance, Stopped: err == nil, Held: state.Held, Received: state.Received})
 		})
 	}
 	wait.Wait()
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// readers is how many VMs of a failure domain read the store for the others.
-	readers = 1
 	// relayWait is how long a reader may hold an answer back while nothing changes.
 	relayWait = 400 * time.Millisecond
 	// relayTimeout bounds a question beyond the wait.
@@ -30,6 +28,8 @@
 	rescueAge = 1400 * time.Millisecond
 	// driftShare is how much faster than ours a peer's clock may run.
 	driftShare = 0.002
+	// passTime is how long a reader that did not keep the copies current is passed over.
+	passTime = 4 * time.Second
 )
 
 // Relay gets the tables of the store from another VM: all the time from the reader of the own failure domain, and from any VM
@@ -45,13 +45,17 @@
 	Log      *log.Logger
 
 	reading bool
+	// passed counts the VMs that rank before the reader and did not keep the copies current since passedAt.
+	passed   int
+	passedAt time.Time
 }
 
 // Run asks until the context ends.
 func (r *Relay) Run(ctx context.Context) {
 	r.reading = true
 	for turn := 0; ctx.Err() == nil; turn++ {
-		reader, ok := r.reader()
+		now := clock.Now()
+		reader, ok := r.reader(now)
 		r.setReading(!ok)
 		switch {
 		case ok && !r.stale():
@@ -59,6 +63,7 @@
 				retry.Sleep(ctx, relayPause)
 			}
 		case r.Follower.Away() || (ok && r.stale()):
+			r.pass(now, ok)
 			r.rescue(ctx, turn)
 			retry.Sleep(ctx, relayPause)
 		default:
@@ -77,7 +82,10 @@
 }
 
 // reader returns the VM that reads the store for this one; false means that this VM reads it itself.
-func (r *Relay) reader() (world.VM, bool) {
+func (r *Relay) reader(now time.Time) (world.VM, bool) {
+	if now.Sub(r.passedAt) > passTime {
+		r.passed = 0
+	}
 	state := r.World.State()
 	var near []model.VM
 	for name, vm := range state.VMs {
@@ -86,10 +94,20 @@
 		}
 	}
 	ranked := fleet.Rank("reader", near)
-	if rank, registered := fleet.Index(r.Self, ranked); !registered || rank < readers {
+	rank, registered := fleet.Index(r.Self, ranked)
+	if !registered || rank == r.passed%len(ranked) {
 		return world.VM{}, false
 	}
-	return state.VMs[ranked[0].ID], true
+	return state.VMs[ranked[r.passed%len(ranked)].ID], true
+}
+
+// pass goes on to the next VM where the reader, which the store may turn away, does not keep the copies current.
+func (r *Relay) pass(now time.Time, relayed bool) {
+	if relayed && now.Sub(r.passedAt) > rescueAge {
+		r.passed++
+		r.passedAt = now
+		r.Log.Info("reader of the store passed over", "passed", r.passed, "age", now.Sub(r.World.ProvenAt()).Round(time.Millisecond))
+	}
 }
 
 // stale tells whether the copies are so old that the reader cannot be relied on.
--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/crocusshore/crocusshore/clock"
@@ -25,7 +26,7 @@
 	demandTime = 2 * time.Second
 	// sampleTimeout bounds one question.
 	sampleTimeout = 250 * time.Millisecond
-	// witnessAge is how old the proof of the table may be before the replicas are asked as witnesses.
+	// witnessAge is how old the proof for a group may be before a replica is asked as a witness.
 	witnessAge = 1200 * time.Millisecond
 )
 
@@ -64,8 +65,8 @@
 
 // refresh takes a sample where the last one is older than an age.
 func (s *Server) refresh(now time.Time, group model.GroupName, age time.Duration) {
-	if now.Sub(s.config.World.ProvenAt()) > witnessAge {
-		s.witness(now, group)
+	if s.config.World.ProofAge(now, group) > witnessAge {
+		s.witness(group)
 	}
 	lease, ok := s.config.World.Lease(now, group)
 	if !ok {
@@ -110,24 +111,34 @@
 	return state, sentAt, err
 }
 
-// witness asks all replicas of a group whether one is paused for a later term, which proves that no promotion is near.
-func (s *Server) witness(now time.Time, group model.GroupName) {
+// witness asks the replicas of a group, the near ones first, until one is not paused for a later term: then no promotion is near.
+func (s *Server) witness(group model.GroupName) {
 	belief := s.config.World.State()
 	primary, lead, known := belief.Primary(group)
 	if !known {
 		return
 	}
-	for _, instance := range belief.Group(group) {
-		if instance.Name == primary.Name {
+	members := belief.Group(group)
+	slices.SortStableFunc(members, func(a, b model.Instance) int { return s.distance(a) - s.distance(b) })
+	for _, instance := range members {
+		if instance.Name == primary.Name || instance.Leaving {
 			continue
 		}
-		state, _, err := s.ask(instance)
-		if err != nil || state.Term != lead.Term || state.Held > lead.Term {
-			s.config.Log.Debug("replica is no witness", "group", group, "instance", instance.Name, "held", state.Held, "error", err)
+		state, sentAt, err := s.ask(instance)
+		if err == nil && state.Role == model.RoleReplica && state.Term == lead.Term && state.Held <= lead.Term {
+			s.config.World.Witness(group, lead.Term, sentAt)
 			return
 		}
+		s.config.Log.Debug("replica is no witness", "group", group, "instance", instance.Name, "held", state.Held, "error", err)
 	}
-	s.config.World.Witness(group, lead.Term, now)
+}
+
+// distance is 0 for an instance of the own failure domain.
+func (s *Server) distance(instance model.Instance) int {
+	if instance.Domain == s.config.Domain {
+		return 0
+	}
+	return 1
 }
 
 // Reach tells whether the primary of a group answers as such now.
--- a/world/lease.go
+++ b/world/lease.go
@@ -17,8 +17,8 @@
 // Lease returns the right to use the primary of a group, and whether there is one now.
 //
 // A promotion starts with an intent in the store and a pause of the replicas, and takes effect only after every VM confirmed
-// that it stopped using the old primary, or after the lease bound. So both a current table without an intent and replicas that
-// are not paused prove that the lease bound has not begun.
+// that it stopped using the old primary, or once all replicas were paused for the lease bound. So both a current table without an
+// intent and one replica that is not paused prove that the lease bound has not begun for a VM that did not confirm.
 func (w *World) Lease(now time.Time, group model.GroupName) (Lease, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -49,7 +49,7 @@
 	w.revoked[group] = max(w.revoked[group], version+1)
 }
 
-// Witness records that at an instant no replica of a group was paused for a term above the given one.
+// Witness records that at an instant a replica of a group was not paused for a term above the given one.
 func (w *World) Witness(group model.GroupName, term model.Term, at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -57,3 +57,14 @@
 		w.witnessedAt[group] = at
 	}
 }
+
+// ProofAge returns how long ago the last proof for a group was, of whichever kind.
+func (w *World) ProofAge(now time.Time, group model.GroupName) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	proof := w.provenAt
+	if at := w.witnessedAt[group]; at.After(proof) {
+		proof = at
+	}
+	return now.Sub(proof)
+}
--- a/world/world.go
+++ b/world/world.go
@@ -31,7 +31,7 @@
 		tableVersions map[model.TableName]int64
 		// provenAt is the newest instant at which no row of the own table was newer.
 		provenAt time.Time
-		// witnessedAt is the newest instant at which no replica of a group was paused for a later term.
+		// witnessedAt is the newest instant at which a replica of a group was not paused for a later term.
 		witnessedAt map[model.GroupName]time.Time
 		// revoked holds the version of the intent up to which a group's rows prove nothing.
 		revoked map[model.GroupName]int64
