--- a/watch/follower.go
+++ b/watch/follower.go
@@ -19,10 +19,11 @@
 
 const (
 	// settingsWait and rowsWait are how long a call waits for a change; a silent connection is noticed after it.
-	settingsWait = 2500 * time.Millisecond
+	settingsWait = 1200 * time.Millisecond
 	rowsWait     = 500 * time.Millisecond
-	// settingsAge and rowsAge are how old a copy from peers may be before the store is asked instead.
-	settingsAge = 4500 * time.Millisecond
+	// settingsAge and rowsAge are how old a copy from peers may be before the store is asked instead; settings have to be in force
+	// three seconds after they were accepted, also where the reader of the failure domain is turned away without an answer.
+	settingsAge = 2000 * time.Millisecond
 	rowsAge     = 1100 * time.Millisecond
 	// coveredPause is how often a table that peers keep current is looked at.
 	coveredPause = 100 * time.Millisecond
