A changed settings file is followed, settings check reads the platform's file, long files are split

Change: the node compares the file every two seconds and on SIGHUP; a broken file changes nothing and is reported with all findings; settings check takes YAML. orders/replace.go and the node's tests are split by what they do.

--- a/commands/settings.go
+++ b/commands/settings.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"os"
 	"os/user"
+	"path/filepath"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/crocusshore/crocusshore/admin"
 	"github.com/crocusshore/crocusshore/lint"
+	"github.com/crocusshore/crocusshore/platform"
 	"github.com/crocusshore/crocusshore/tree"
 )
 
@@ -32,12 +34,15 @@
 		Name:        "check",
 		Usage:       "report every mistake in a file with its place",
 		ArgsUsage:   "FILE",
-		Description: example("Reads the file alone; no entry is asked.", "crocusshore settings check settings.json"),
+		Description: example("Reads the file alone; no entry is asked. A file that ends in .yaml or .yml is the settings file of the users' platform.", "crocusshore settings check settings.json"),
 		Action: func(_ context.Context, c *cli.Command) error {
 			file, text, err := readArgument(c)
 			if err != nil {
 				return err
 			}
+			if extension := filepath.Ext(file); extension == ".yaml" || extension == ".yml" {
+				return checkPlatformSettings(file, text)
+			}
 			t, err := tree.Parse(file, text)
 			if err != nil {
 				return showFindings(err)
@@ -48,6 +53,21 @@
 	}
 }
 
+// checkPlatformSettings reports every mistake in a settings file of the users' platform.
+func checkPlatformSettings(file string, text []byte) error {
+	settings, err := platform.ParseSettings(text)
+	if err == nil {
+		fmt.Printf("%s is sound: VM %s in %s\n", file, settings.VM, settings.Domain)
+		return nil
+	}
+	findings := platform.Findings(err)
+	for _, finding := range findings {
+		fmt.Printf("%s: %s\n", file, finding)
+	}
+	fmt.Printf("%d findings\n", len(findings))
+	return errQuiet
+}
+
 func readArgument(c *cli.Command) (file string, text []byte, err error) {
 	file = c.Args().First()
 	if file == "" {
--- /dev/null
+++ b/node/client_test.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// client is a caller's session.
+type client struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (s *site) dial(node int, database, key string) (*client, error) {
+	conn, err := net.Dial("tcp", s.nodes[node].config.Settings.Callers.String())
+	if err != nil {
+		return nil, err
+	}
+	c := &client{conn: conn, in: bufio.NewReader(conn)}
+	if _, err := fmt.Fprintf(conn, "START %s %s\r\n", database, key); err != nil {
+		return nil, err
+	}
+	line, err := c.in.ReadString('\n')
+	if err != nil || !strings.HasPrefix(line, "READY I") {
+		_ = conn.Close()
+		return nil, fmt.Errorf("session refused: %q %w", line, io.EOF)
+	}
+	return c, nil
+}
+
+var ids atomic.Int64
+
+// ask runs a statement and returns its rows and the end of the answer.
+func (c *client) ask(text string) (id string, rows []string, end string, err error) {
+	id = fmt.Sprintf("q%d", ids.Add(1))
+	if err := c.conn.SetDeadline(time.Now().Add(3 * time.Second)); err != nil {
+		return id, nil, "", err
+	}
+	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
+		return id, nil, "", err
+	}
+	for {
+		line, err := c.in.ReadString('\n')
+		if err != nil {
+			return id, rows, end, err
+		}
+		line = strings.TrimSpace(line)
+		switch {
+		case strings.HasPrefix(line, "ROW"):
+			rows = append(rows, strings.TrimSpace(strings.TrimPrefix(line, "ROW")))
+		case strings.HasPrefix(line, "READY"):
+			return id, rows, end, nil
+		default:
+			end = line
+		}
+	}
+}
+
+// must runs a statement that succeeds.
+func (c *client) must(t *testing.T, text string) []string {
+	t.Helper()
+	_, rows, end, err := c.ask(text)
+	require.NoError(t, err)
+	require.True(t, strings.HasPrefix(end, "DONE"), "%s: %s", text, end)
+	return rows
+}
--- /dev/null
+++ b/node/fault_test.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/stand"
+)
+
+// serves tells whether a write succeeds through a node.
+func (s *site) serves(node int) bool {
+	c, err := s.dial(node, "revise", "key-1")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.conn.Close() }()
+	_, _, end, err := c.ask("WRITE probe x")
+	return err == nil && strings.HasPrefix(end, "DONE")
+}
+
+func TestPrimaryFails(t *testing.T) {
+	for name, fault := range map[string]stand.DatabaseFaults{
+		"crash": {Down: true},
+		"dark":  {Dark: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 3)
+			w := s.work()
+			time.Sleep(300 * time.Millisecond)
+			s.cluster.SetFaults("i-1", fault)
+			require.Eventually(t, func() bool { p, term := s.cluster.Primary(); return p != "i-1" && term == 2 }, 8*time.Second, 10*time.Millisecond)
+			require.Eventually(t, func() bool { return s.serves(0) && s.serves(1) && s.serves(2) }, 3*time.Second, 20*time.Millisecond)
+			s.cluster.SetFaults("i-1", stand.DatabaseFaults{})
+			time.Sleep(200 * time.Millisecond)
+			w.finish(t, s)
+		})
+	}
+}
+
+func TestPrimaryLeaves(t *testing.T) {
+	s := newSite(t, 3)
+	w := s.work()
+	time.Sleep(300 * time.Millisecond)
+	s.announce(model.Instance{Name: "i-1", Group: groupName, Domain: "a", Slots: 3, Role: model.RolePrimary, Address: netip.MustParseAddrPort("10.0.0.1:5000")}, "draining")
+	require.Eventually(t, func() bool { p, _ := s.cluster.Primary(); return p != "" && p != "i-1" }, 4*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return s.serves(0) && s.serves(1) && s.serves(2) }, 3*time.Second, 20*time.Millisecond)
+	w.finish(t, s)
+}
+
+func TestDeafReplicaThenCrash(t *testing.T) {
+	s := newSite(t, 3)
+	w := s.work()
+	s.cluster.SetFaults("i-2", stand.DatabaseFaults{Deaf: true})
+	time.Sleep(300 * time.Millisecond)
+	s.cluster.SetFaults("i-1", stand.DatabaseFaults{Down: true})
+	require.Eventually(t, func() bool { p, _ := s.cluster.Primary(); return p == "i-3" }, 8*time.Second, 10*time.Millisecond, "only i-3 has every acknowledged commit")
+	s.cluster.SetFaults("i-2", stand.DatabaseFaults{})
+	require.Eventually(t, func() bool { return s.serves(0) }, 3*time.Second, 20*time.Millisecond)
+	w.finish(t, s)
+}
+
+func TestStoreIsAwayForAll(t *testing.T) {
+	s := newSite(t, 3)
+	w := s.work()
+	time.Sleep(500 * time.Millisecond)
+	s.rows.SetFaults(stand.RowsFaults{Away: true})
+	time.Sleep(2 * leaseBound)
+	require.True(t, s.serves(0) && s.serves(1) && s.serves(2), "the replicas are witnesses")
+	s.rows.SetFaults(stand.RowsFaults{})
+	time.Sleep(300 * time.Millisecond)
+	require.True(t, s.serves(0))
+	w.finish(t, s)
+}
+
+func TestStoreTurnsOneNodeAway(t *testing.T) {
+	s := newSite(t, 3)
+	s.rows.SetFaults(stand.RowsFaults{AwayFor: map[string]bool{"vm-1": true}})
+	time.Sleep(700 * time.Millisecond)
+	s.operate(2, `"key-2"`)
+	require.Eventually(t, func() bool { return s.nodes[1].world.State().Policy.Version == 2 }, 3*time.Second, 10*time.Millisecond, "peers pass the settings on")
+	_, err := s.dial(1, "revise", "key-1")
+	require.ErrorContains(t, err, "NOAUTH")
+	_, err = s.dial(1, "revise", "key-2")
+	require.NoError(t, err)
+}
+
+func TestStoreLosesAnswersAndItsHistoryWhileThePrimaryFails(t *testing.T) {
+	s := newSite(t, 3)
+	w := s.work()
+	s.rows.SetFaults(stand.RowsFaults{LoseAnswers: 0.5, Latency: 5 * time.Millisecond})
+	s.cluster.SetFaults("i-1", stand.DatabaseFaults{Down: true})
+	time.Sleep(200 * time.Millisecond)
+	s.rows.Forget()
+	require.Eventually(t, func() bool { p, _ := s.cluster.Primary(); return p != "" && p != "i-1" }, 20*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return s.serves(0) && s.serves(1) && s.serves(2) }, 15*time.Second, 20*time.Millisecond)
+	w.finish(t, s)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -44,7 +44,9 @@
 type (
 	// Config names what a node works with.
 	Config struct {
+		// Settings are the settings at start, SettingsBody the file that they were read from, and SettingsPath where it is.
 		Settings     platform.Settings
+		SettingsBody []byte
 		SettingsPath string
 		// Dialer, OpenRows and Promotions lead to the instances and the platform.
 		Dialer         model.Dialer
@@ -69,13 +71,18 @@
 		follower *watch.Follower
 		register *peers.Register
 		stopping atomic.Bool
+
+		// settings are those in force, and body the file that they came from.
+		settings atomic.Pointer[platform.Settings]
+		body     []byte
 	}
 )
 
 // New returns a node that is not started.
 func New(config Config) *Node {
-	n := &Node{config: config, boot: model.BootID(uuid.NewString()), samples: sample.New(), track: place.NewTrack()}
+	n := &Node{config: config, body: config.SettingsBody, boot: model.BootID(uuid.NewString()), samples: sample.New(), track: place.NewTrack()}
 	s := config.Settings
+	n.settings.Store(&s)
 	n.world = world.New(world.Config{VM: s.VM, Boot: n.boot, LeaseBound: leaseBound})
 	n.pool = conns.New(conns.Config{Dialer: config.Dialer, Phrases: platform.Phrases{}, Budget: n.budget})
 	n.limiter = share.New(clock.Now(), share.Config{Weight: n.weight, Team: n.team, Slack: s.RateSlack})
@@ -127,7 +134,7 @@
 
 func (n *Node) relay() *peers.Relay {
 	s := n.config.Settings
-	return &peers.Relay{Self: s.VM, Domain: s.Domain, Seeds: s.Seeds, World: n.world, Follower: n.follower, Samples: n.samples, Client: peers.NewClient(), Log: n.config.Log}
+	return &peers.Relay{Self: s.VM, Domain: s.Domain, Seeds: func() []netip.AddrPort { return n.settings.Load().Seeds }, World: n.world, Follower: n.follower, Samples: n.samples, Client: peers.NewClient(), Log: n.config.Log}
 }
 
 func (n *Node) supervisor() *orders.Supervisor {
@@ -158,13 +165,17 @@
 func (n *Node) wait(ctx context.Context, callers net.Listener) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	look := time.NewTicker(lookAtSettings)
+	defer look.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-look.C:
+			n.reload(false)
 		case got := <-signals:
 			if got == syscall.SIGHUP {
-				n.reload()
+				n.reload(true)
 				continue
 			}
 			n.leave(ctx, callers)
@@ -173,16 +184,10 @@
 	}
 }
 
-// reload reads the settings file again; addresses hold for the life of the process.
-func (n *Node) reload() {
-	_, err := platform.ReadSettings(n.config.SettingsPath)
-	n.config.Log.Info("settings file read again", "error", err)
-}
-
 // leave takes the VM out of rotation and ends its sessions, the transactions last.
 func (n *Node) leave(ctx context.Context, callers net.Listener) {
 	now := clock.Now()
-	grace := n.config.Settings.Grace
+	grace := n.settings.Load().Grace
 	n.config.Log.Info("stop", "grace", grace, "sessions", n.server.Callers())
 	n.stopping.Store(true)
 	go n.register.Remove(ctx)
--- /dev/null
+++ b/node/site_test.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/platform"
+	"github.com/crocusshore/crocusshore/stand"
+)
+
+const (
+	groupName = "orders-a"
+	settings  = `{"Version":%d,"Routes":[
+		{"Name":"r1","Host":"revise","Type":"primary","TimeoutMs":800,"TargetLatencyMs":200,"Priority":1,"Service":"orders-a"},
+		{"Name":"r2","Host":"browse","Type":"bounded","TimeoutMs":800,"TargetLatencyMs":200,"Priority":2,"Service":"orders-a","MaxStalenessMs":1500},
+		{"Name":"r3","Host":"quote","Type":"read_your_writes","TimeoutMs":800,"TargetLatencyMs":200,"Priority":2,"Service":"orders-a","MaxStalenessMs":2500}],
+		"Services":[{"Name":"orders-a","MaxConns":48,"SyncReplicas":1}],"Limits":{"TxIdleMs":3000},
+		"Tenants":[{"Name":"builders","ApiKeys":[%s],"RatePerS":5000,"Burst":5000}]}`
+)
+
+// site is a fleet of nodes in front of stand-ins, all in this process on loopback.
+type site struct {
+	t       *testing.T
+	rows    *stand.Rows
+	cluster *stand.Cluster
+	nodes   []*Node
+	cancels []context.CancelFunc
+	stop    chan struct{}
+	pulled  sync.WaitGroup
+}
+
+func newSite(t *testing.T, vms int) *site {
+	t.Helper()
+	s := &site{t: t, rows: stand.NewRows(), stop: make(chan struct{})}
+	var instances []model.Instance
+	for i, name := range []string{"i-1", "i-2", "i-3"} {
+		role := model.RoleReplica
+		if i == 0 {
+			role = model.RolePrimary
+		}
+		instances = append(instances, model.Instance{
+			Name: model.InstanceName(name), Group: groupName, Domain: model.Domain(string(rune('a' + i))), Slots: 3, Role: role,
+			Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(5000+i)),
+		})
+	}
+	s.cluster = stand.NewCluster(stand.ClusterConfig{
+		Group: groupName, Instances: instances, Lag: 5 * time.Millisecond, PromoteTime: 50 * time.Millisecond, OldTime: 300 * time.Millisecond,
+	})
+	s.cluster.OnChange(func(i model.Instance) { s.announce(i, "ready") })
+	s.operate(1, `"key-1"`)
+	for _, i := range instances {
+		s.announce(i, "ready")
+	}
+	s.pulled.Go(s.pull)
+	for i := range vms {
+		s.start(i)
+	}
+	t.Cleanup(s.close)
+	require.Eventually(t, s.ready, 5*time.Second, 20*time.Millisecond, "the nodes become ready")
+	return s
+}
+
+func (s *site) pull() {
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(time.Millisecond):
+			s.cluster.Pull(time.Now())
+		}
+	}
+}
+
+func (s *site) operate(version int, keys string) {
+	s.rows.Put(platform.TableSettings, platform.KeySettings, fmt.Appendf(nil, settings, version, keys))
+}
+
+// announce registers an instance as it would itself.
+func (s *site) announce(i model.Instance, state string) {
+	body, err := json.Marshal(map[string]any{
+		"Service": i.Group, "Addr": i.Address.String(), "Zone": i.Domain, "Slots": i.Slots, "State": state, "DbRole": strings.ToLower(string(i.Role)),
+	})
+	if err != nil {
+		panic(err)
+	}
+	s.rows.Put(platform.TableInstances, string(i.Name), body)
+}
+
+// freePort returns an address of loopback that was free just now.
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func (s *site) start(i int) {
+	name := fmt.Sprintf("vm-%d", i)
+	address := netip.MustParseAddr("127.0.0.1")
+	n := New(Config{
+		Settings: platform.Settings{
+			VM: model.VMID(name), Domain: model.Domain(string(rune('a' + i%3))), Address: address, Callers: freePort(s.t), Ready: freePort(s.t),
+			Peers: freePort(s.t), FirstPort: freePort(s.t).Port(), Grace: 3 * time.Second, RateSlack: 20,
+		},
+		Dialer: s.cluster, OpenRows: func() model.Rows { return s.rows.Client(name) }, Promotions: s.cluster,
+		Log: log.New(io.Discard), Scope: tally.NoopScope, Metrics: freePort(s.t), MetricsHandler: http.NotFoundHandler(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	s.nodes = append(s.nodes, n)
+	s.cancels = append(s.cancels, cancel)
+	go func() { _ = n.Run(ctx) }()
+}
+
+func (s *site) ready() bool {
+	for _, n := range s.nodes {
+		response, err := http.Get("http://" + n.config.Settings.Ready.String() + platform.PathReady)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK || len(n.world.State().VMs) < len(s.nodes) || len(n.world.State().Group(groupName)) < 3 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *site) close() {
+	for _, cancel := range s.cancels {
+		cancel()
+	}
+	close(s.stop)
+	s.pulled.Wait()
+	require.Empty(s.t, s.cluster.Breaches())
+}
--- /dev/null
+++ b/orders/compare.go
@@ -0,0 +1,122 @@
+package orders
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/elect"
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/retry"
+)
+
+// choose waits until a replica can take over without losing an acknowledged commit.
+//
+// A primary that still answers is demoted first, and a replica that has its whole log takes over. Otherwise all replicas are
+// stopped and compared. Either way every lease on the old primary must be over.
+func (r *replacement) choose(ctx context.Context) (model.Instance, error) {
+	target, handedOver, err := r.handOver(ctx)
+	if err != nil {
+		return model.Instance{}, err
+	}
+	for askedAt := r.announcedAt; ; {
+		now := clock.Now()
+		if handedOver && r.released() {
+			return target, nil
+		}
+		r.pause(now)
+		if r.expired(now) && r.stillStopped() {
+			if handedOver {
+				return target, nil
+			}
+			if chosen, ok := r.compare(now); ok {
+				return chosen, nil
+			}
+		}
+		if r.mayKeep(now) {
+			return model.Instance{}, errKept
+		}
+		if !r.released() && now.Sub(askedAt) >= askPause {
+			askedAt = now
+			r.release(ctx)
+		}
+		if !retry.Sleep(ctx, stepPause) {
+			return model.Instance{}, errors.New("no replica can take over yet")
+		}
+	}
+}
+
+// pause stops the replicas, once as many as answer and then those that are missing.
+func (r *replacement) pause(now time.Time) {
+	if !r.lookedAt.IsZero() && now.Sub(r.lookedAt) < askPause {
+		return
+	}
+	if elect.AllStopped(r.replicas) && len(r.replicas) > 0 {
+		return
+	}
+	r.lookedAt = now
+	r.replicas = r.inspect(func(link model.Link, deadline time.Time) (model.InstanceState, error) {
+		return link.Pause(deadline, r.lead.Next.Term)
+	})
+	if r.pausedAt.IsZero() && elect.AllStopped(r.replicas) {
+		r.pausedAt = clock.Now()
+	}
+}
+
+// stillStopped tells whether the replicas can be compared: with VMs that did not confirm, none may have restarted since it was
+// stopped, which ends a pause. Otherwise the wait begins anew.
+func (r *replacement) stillStopped() bool {
+	r.replicas = elect.Kept(r.inspect(model.Link.Status), r.lead.Next.Term)
+	if r.released() || elect.AllStopped(r.replicas) {
+		return true
+	}
+	r.pausedAt, r.lookedAt = time.Time{}, time.Time{}
+	return false
+}
+
+// compare returns the replica that has every acknowledged commit, if that is certain.
+func (r *replacement) compare(now time.Time) (model.Instance, bool) {
+	evidence := elect.Evidence{Replicas: r.replicas, AllReleased: r.released(), Departed: r.s.config.World.Departed(now, r.group)}
+	for _, release := range r.releases {
+		evidence.Releases = append(evidence.Releases, release)
+	}
+	chosen, ok := elect.Choose(evidence)
+	r.s.config.Log.Info("replicas compared", "group", r.group, "chosen", chosen.Instance.Name, "safe", ok, "replicas", describe(r.replicas),
+		"released", len(r.releases), "departed", evidence.Departed)
+	return chosen.Instance, ok
+}
+
+// inspect runs an order on every replica at once; one that does not answer counts as not stopped.
+func (r *replacement) inspect(run func(model.Link, time.Time) (model.InstanceState, error)) []elect.Replica {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	var replicas []elect.Replica
+	for _, instance := range r.s.config.World.State().Group(r.group) {
+		if instance.Name == r.lead.Primary {
+			continue
+		}
+		wait.Go(func() {
+			state, err := r.s.order(instance, run)
+			mu.Lock()
+			defer mu.Unlock()
+			replicas = append(replicas, elect.Replica{Instance: instance, Stopped: err == nil, Held: state.Held, Received: state.Received})
+		})
+	}
+	wait.Wait()
+	return replicas
+}
+
+func describe(replicas []elect.Replica) []string {
+	lines := make([]string, 0, len(replicas))
+	for _, r := range replicas {
+		line := string(r.Instance.Name) + " stopped=false"
+		if r.Stopped {
+			line = string(r.Instance.Name) + " at " + r.Received.String()
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -35,9 +35,10 @@
 // Relay gets the tables of the store from another VM: all the time from the reader of the own failure domain, and from any VM
 // while neither the reader nor the store is in reach.
 type Relay struct {
-	Self     model.VMID
-	Domain   model.Domain
-	Seeds    []netip.AddrPort
+	Self   model.VMID
+	Domain model.Domain
+	// Seeds returns peer addresses for a VM that knows no other.
+	Seeds    func() []netip.AddrPort
 	World    *world.World
 	Follower *watch.Follower
 	Samples  *sample.Samples
@@ -134,7 +135,7 @@
 	rand.Shuffle(len(far), func(a, b int) { far[a], far[b] = far[b], far[a] })
 	peers := interleave(near, far)
 	if len(peers) == 0 {
-		return r.Seeds
+		return r.Seeds()
 	}
 	return peers
 }
