A session that wrote in a later term than the sample reads at its own position; tests of placement and logs

Cause: a test of place.NeedOf failed first: with a sample of term 2 and a write of the session in term 3, a replica was asked only for the sample's position and could have hidden the session's own write. The comparison had been limited to equal terms so that cut-off positions of older terms are ignored, which the order of marks does already. Also: instances that are gone leave no connections, methods without callers are removed, the node's tests use addresses of their own.

--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -196,6 +196,17 @@
 	require.False(t, d.links[2].closed, "a connection in use is not cut")
 }
 
+func TestInstanceThatIsGoneLeavesNothingBehind(t *testing.T) {
+	p, d := newPool(2)
+	c, err := p.Get(clock.Now(), request("a", time.Second))
+	require.NoError(t, err)
+	p.Put(clock.Now(), c)
+	p.Drop("i")
+	require.True(t, d.links[0].closed)
+	require.Empty(t, p.buckets)
+	p.Drop("i")
+}
+
 func TestDeadIdleConnectionIsNotUsed(t *testing.T) {
 	p, d := newPool(2)
 	c, err := p.Get(clock.Now(), request("a", time.Second))
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -179,7 +179,7 @@
 	p.hand(now, b)
 }
 
-// Drop closes the idle connections to an instance.
+// Drop closes the idle connections to an instance that is gone.
 func (p *Pool) Drop(name model.InstanceName) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -192,6 +192,9 @@
 		b.open--
 	}
 	b.idle = nil
+	if b.open == 0 && b.waiting.Len() == 0 {
+		delete(p.buckets, name)
+	}
 }
 
 // Trim closes the idle connections that are beyond the budgets, which shrink when VMs join or a primary is replaced.
--- /dev/null
+++ b/logs/logs_test.go
@@ -0,0 +1,58 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// gated blocks writes until it is opened.
+type gated struct {
+	mu   sync.Mutex
+	open chan struct{}
+	text bytes.Buffer
+}
+
+func (g *gated) Write(p []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.Write(p)
+}
+
+func TestLoggingNeverBlocksAndCountsWhatItDrops(t *testing.T) {
+	out := &gated{open: make(chan struct{})}
+	ring := NewRing(out, 10)
+	start := time.Now()
+	for range 1000 {
+		_, err := ring.Write([]byte("level=info msg=line\n"))
+		require.NoError(t, err)
+	}
+	require.Less(t, time.Since(start), time.Second, "nobody reads the output")
+	close(out.open)
+	// The count goes out with the next lines.
+	require.Eventually(t, func() bool { return len(ring.lines) == 0 }, time.Second, time.Millisecond)
+	_, err := ring.Write([]byte("level=info msg=last\n"))
+	require.NoError(t, err)
+	ring.Close()
+	require.Contains(t, out.text.String(), "log lines dropped")
+	require.Less(t, strings.Count(out.text.String(), "msg=line"), 20)
+	require.Contains(t, out.text.String(), "msg=last")
+}
+
+func TestNewWritesKeyValueLines(t *testing.T) {
+	var out bytes.Buffer
+	logger, ring, err := New(&out, "info")
+	require.NoError(t, err)
+	logger.Debug("hidden")
+	logger.Info("statement", "id", "q1", "outcome", "Done")
+	ring.Close()
+	require.Contains(t, out.String(), "level=info msg=statement id=q1 outcome=Done")
+	require.NotContains(t, out.String(), "hidden")
+	_, _, err = New(&out, "loud")
+	require.Error(t, err)
+}
--- a/logs/ring.go
+++ b/logs/ring.go
@@ -34,9 +34,6 @@
 	return len(line), nil
 }
 
-// Dropped returns how many lines were dropped since the last report.
-func (r *Ring) Dropped() int64 { return r.dropped.Load() }
-
 // Close writes what is left.
 func (r *Ring) Close() {
 	r.closing.Do(func() { close(r.lines) })
--- a/node/node.go
+++ b/node/node.go
@@ -95,6 +95,7 @@
 		Open: config.OpenRows, World: n.world, Log: config.Log,
 		Settings: platform.TableSettings, Instances: platform.TableInstances, SettingsKey: platform.KeySettings,
 		DecodePolicy: platform.DecodePolicy, DecodeInstance: platform.DecodeInstance,
+		Gone: n.pool.Drop,
 	})
 	self := world.VM{Name: s.VM, Domain: s.Domain, Peers: s.Peers, Gossip: n.gossipAddress(), Boot: n.boot}
 	n.register = &peers.Register{Self: self, Rows: config.OpenRows(), World: n.world, Log: config.Log}
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -5,11 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,30 +101,43 @@
 	s.rows.Put(platform.TableInstances, string(i.Name), body)
 }
 
-// freePort returns an address of loopback that was free just now.
-func freePort(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String())
+// Ports of a node; they lie below the range from which outgoing connections take theirs.
+const (
+	callersPort = 7001 + iota
+	readyPort
+	peersPort
+	gossipPort
+	metricsTestPort
+)
+
+var addresses atomic.Int64
+
+// newAddress returns a loopback address that no other node of this test run has.
+func newAddress() netip.Addr {
+	n := addresses.Add(1)
+	return netip.AddrFrom4([4]byte{127, byte(10 + os.Getpid()%200), byte(n / 250), byte(1 + n%250)})
 }
 
 func (s *site) start(i int) {
 	name := fmt.Sprintf("vm-%d", i)
-	address := netip.MustParseAddr("127.0.0.1")
+	address := newAddress()
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(address, port) }
 	n := New(Config{
 		Settings: platform.Settings{
-			VM: model.VMID(name), Domain: model.Domain(string(rune('a' + i%3))), Address: address, Callers: freePort(s.t), Ready: freePort(s.t),
-			Peers: freePort(s.t), FirstPort: freePort(s.t).Port(), Grace: 3 * time.Second, RateSlack: 20,
+			VM: model.VMID(name), Domain: model.Domain(string(rune('a' + i%3))), Address: address, Callers: at(callersPort), Ready: at(readyPort),
+			Peers: at(peersPort), FirstPort: gossipPort, Grace: 3 * time.Second, RateSlack: 20,
 		},
 		Dialer: s.cluster, OpenRows: func() model.Rows { return s.rows.Client(name) }, Promotions: s.cluster,
-		Log: log.New(io.Discard), Scope: tally.NoopScope, Metrics: freePort(s.t), MetricsHandler: http.NotFoundHandler(),
+		Log: log.New(io.Discard), Scope: tally.NoopScope, Metrics: at(metricsTestPort), MetricsHandler: http.NotFoundHandler(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	s.nodes = append(s.nodes, n)
 	s.cancels = append(s.cancels, cancel)
-	go func() { _ = n.Run(ctx) }()
+	go func() {
+		if err := n.Run(ctx); err != nil && ctx.Err() == nil {
+			s.t.Errorf("node %s ended: %v", name, err)
+		}
+	}()
 }
 
 func (s *site) ready() bool {
--- a/place/choose.go
+++ b/place/choose.go
@@ -77,7 +77,7 @@
 		return Need{PrimaryOnly: true}
 	}
 	need := Need{Since: covered.Mark}
-	if route.Consistency == policy.ConsistencySession && covered.Mark.Term == seen.Term && covered.Mark.Before(seen) {
+	if route.Consistency == policy.ConsistencySession && covered.Mark.Before(seen) {
 		need.Since = seen
 	}
 	return need
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,77 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/policy"
+	"github.com/crocusshore/crocusshore/sample"
+)
+
+func candidate(name string, change func(*Candidate)) Candidate {
+	c := Candidate{Instance: model.Instance{Name: model.InstanceName(name), Slots: 3}, Slowness: 1, Local: true}
+	if change != nil {
+		change(&c)
+	}
+	return c
+}
+
+func TestRankFollowsTheLoad(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		candidates []Candidate
+		want       model.InstanceName
+	}{
+		{"near replica first", []Candidate{candidate("far", func(c *Candidate) { c.Local = false }), candidate("near", nil)}, "near"},
+		{"replica before the primary", []Candidate{candidate("primary", func(c *Candidate) { c.Primary = true }), candidate("replica", nil)}, "replica"},
+		{
+			"burst: a far replica takes what a near one cannot",
+			[]Candidate{candidate("near", func(c *Candidate) { c.InFlight, c.Waiting = 3, 2 }), candidate("far", func(c *Candidate) { c.Local = false })},
+			"far",
+		},
+		{"slow instance is avoided", []Candidate{candidate("slow", func(c *Candidate) { c.Slowness = 5 }), candidate("far", func(c *Candidate) { c.Local = false })}, "far"},
+		{"primary before a slow replica", []Candidate{candidate("slow", func(c *Candidate) { c.Slowness = 5 }), candidate("primary", func(c *Candidate) { c.Primary = true })}, "primary"},
+		{"failed instance last", []Candidate{candidate("failed", func(c *Candidate) { c.Failed = true }), candidate("slow", func(c *Candidate) { c.Slowness = 9 })}, "slow"},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, Rank(c.candidates)[0].Instance.Name) })
+	}
+}
+
+func TestNeedOf(t *testing.T) {
+	mark := func(term, position int) model.Mark {
+		return model.Mark{Term: model.Term(term), Position: model.Position(position)}
+	}
+	session := policy.Route{Consistency: policy.ConsistencySession}
+	bounded := policy.Route{Consistency: policy.ConsistencyBounded}
+	covered := sample.Sample{Mark: mark(2, 50)}
+	require.Equal(t, Need{PrimaryOnly: true}, NeedOf(policy.Route{Consistency: policy.ConsistencyPrimary}, covered, model.Mark{}))
+	require.Equal(t, Need{PrimaryOnly: true}, NeedOf(bounded, sample.Sample{}, model.Mark{}), "without a sample nothing is known to be fresh")
+	require.Equal(t, Need{Since: mark(2, 50)}, NeedOf(bounded, covered, mark(2, 70)), "bounded reads do not follow the session")
+	require.Equal(t, Need{Since: mark(2, 70)}, NeedOf(session, covered, mark(2, 70)))
+	require.Equal(t, Need{Since: mark(2, 50)}, NeedOf(session, covered, mark(2, 40)))
+	require.Equal(t, Need{Since: mark(2, 50)}, NeedOf(session, covered, mark(1, 90)), "a position of an older term may be in a tail that was cut off")
+	require.Equal(t, Need{Since: mark(3, 10)}, NeedOf(session, covered, mark(3, 10)), "the session wrote in a later term than the sample")
+}
+
+func TestTrackForgetsSlownessAndFailures(t *testing.T) {
+	track := NewTrack()
+	now := time.Unix(100, 0)
+	for range 50 {
+		track.Answered(now, "r", "fast", 10*time.Millisecond)
+	}
+	for range 20 {
+		track.Answered(now, "r", "slow", 100*time.Millisecond)
+	}
+	slow := candidate("slow", nil)
+	require.Greater(t, track.Judge(now, slow).Slowness, 1.5)
+	require.InDelta(t, 1, track.Judge(now.Add(forgetTime+time.Second), slow).Slowness, 0.01)
+	track.Failed(now, "slow")
+	require.True(t, track.Judge(now, slow).Failed)
+	require.Equal(t, 1, track.Health("slow").Failures)
+	require.False(t, track.Judge(now.Add(failedTime), slow).Failed)
+	track.Alive(now, "slow")
+	require.Zero(t, track.Health("slow").Failures)
+}
--- a/watch/follower.go
+++ b/watch/follower.go
@@ -47,6 +47,8 @@
 		SettingsKey         string
 		DecodePolicy        func(value []byte) (*policy.Policy, []string, error)
 		DecodeInstance      func(name string, value []byte) (model.Instance, error)
+		// Gone is called with an instance that is not registered any more.
+		Gone func(name model.InstanceName)
 	}
 
 	// Follower keeps copies of the tables and puts them into the belief.
@@ -278,5 +280,6 @@
 func (f *Follower) forget(name model.InstanceName) {
 	if f.config.World.Forget(clock.Now(), name) {
 		f.config.Log.Info("instance forgotten", "instance", name)
+		f.config.Gone(name)
 	}
 }
--- a/watch/follower_test.go
+++ b/watch/follower_test.go
@@ -29,6 +29,7 @@
 			version, err := strconv.ParseInt(string(value), 10, 64)
 			return &policy.Policy{Version: version}, nil, err
 		},
+		Gone: func(model.InstanceName) {},
 		DecodeInstance: func(name string, value []byte) (model.Instance, error) {
 			if len(value) == 0 {
 				return model.Instance{}, errors.New("empty")
--- a/world/world.go
+++ b/world/world.go
@@ -59,13 +59,6 @@
 // State returns the present belief.
 func (w *World) State() *State { return w.state.Load() }
 
-// Version returns the version of a table up to which its rows are known.
-func (w *World) Version(table model.TableName) int64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.tableVersions[table]
-}
-
 // SetPolicy puts settings of a row version in force; older ones are ignored.
 func (w *World) SetPolicy(version int64, p *policy.Policy) bool {
 	w.mu.Lock()
@@ -149,9 +142,6 @@
 // instances is the key under which the version of the registrations is kept.
 const instances model.TableName = "Instances"
 
-// InstancesVersion returns the version of the registrations that are known.
-func (w *World) InstancesVersion() int64 { return w.Version(instances) }
-
 // SetRows applies rows of the own table and the proof that comes with them; at is an instant at which version was the newest.
 func (w *World) SetRows(version int64, whole bool, rows []model.StoredRow, at time.Time) error {
 	w.mu.Lock()
