A stopping node keeps its row until it ends; commits count as stuck only while they are tried; latency as histograms

Cause 1: a node that stopped deleted its row at once, lost its lease, registered again after half a second and left a row that the next replacement waited for. Change: the row goes last and the registration stops before; a commit without an answer counts for 1.5 s unless another is tried.

--- a/node/local.go
+++ b/node/local.go
@@ -35,7 +35,7 @@
 func (n *Node) Release(request peers.ReleaseRequest) elect.Release {
 	n.world.Revoke(request.Group, request.Version)
 	settled := n.server.Settle(request.Group, request.Settle)
-	known := n.server.Commits(request.Group).Acked
+	known := n.server.Commits(clock.Now(), request.Group).Acked
 	if last, ok := n.samples.Last(request.Group); ok && known.Before(last.Mark) {
 		known = last.Mark
 	}
@@ -53,7 +53,7 @@
 	}
 	opinion.Reached = opinion.Reached || n.server.Reach(request.Group)
 	now := clock.Now()
-	commits := n.server.Commits(request.Group)
+	commits := n.server.Commits(now, request.Group)
 	if !commits.AckedAt.IsZero() {
 		opinion.CommitAge = now.Sub(commits.AckedAt)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -33,8 +33,8 @@
 const (
 	// leaseBound is how long after a proof a primary may be used; it bridges two calls to the store and a lost one.
 	leaseBound = 2 * time.Second
-	// exitMargin is how long before SIGKILL the process ends by itself.
-	exitMargin = 400 * time.Millisecond
+	// exitMargin is how long before SIGKILL the process stops serving and begins to end by itself.
+	exitMargin = 500 * time.Millisecond
 	// rotationTime is how long the balancer still sends new connections to a VM that is not ready.
 	rotationTime = 2200 * time.Millisecond
 	// leavePoll is how often a stopping process looks whether its sessions have ended.
@@ -191,7 +191,6 @@
 	grace := n.settings.Load().Grace
 	n.config.Log.Info("stop", "grace", grace, "sessions", n.server.Callers())
 	n.stopping.Store(true)
-	go n.register.Remove(ctx)
 	go n.server.Drain(ctx, now.Add(grace/2))
 	for clock.Now().Before(now.Add(grace - exitMargin)) {
 		if n.server.Callers() == 0 && clock.Now().Sub(now) >= rotationTime {
@@ -202,5 +201,6 @@
 	if err := callers.Close(); err != nil {
 		n.config.Log.Warn("callers' address not closed", "error", err)
 	}
+	n.register.Remove(ctx)
 	n.config.Log.Info("stopped", "sessions", n.server.Callers(), "after", clock.Now().Sub(now).Round(time.Millisecond))
 }
--- a/orders/replace.go
+++ b/orders/replace.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/elect"
@@ -32,6 +33,11 @@
 	leadTime = 2500 * time.Millisecond
 )
 
+// replacementBuckets are the bounds of the histogram of replacements.
+var replacementBuckets = tally.DurationBuckets{
+	100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 12 * time.Second,
+}
+
 // replacement is one run towards a new primary.
 type replacement struct {
 	s        *Supervisor
@@ -85,7 +91,7 @@
 	if err := r.run(ctx); err != nil {
 		return err
 	}
-	s.config.Metrics.Timer("replacement").Record(clock.Now().Sub(startedAt))
+	s.config.Metrics.Histogram("replacement", replacementBuckets).RecordDuration(clock.Now().Sub(startedAt))
 	return nil
 }
 
--- a/orders/supervisor.go
+++ b/orders/supervisor.go
@@ -127,7 +127,7 @@
 	if registered {
 		health := s.config.Track.Health(primary.Name)
 		signs.FailingSince, signs.Failures = health.FailingSince, health.Failures
-		signs.StuckSince = s.config.Server.Commits(group).StuckSince
+		signs.StuckSince = s.config.Server.Commits(now, group).StuckSince
 	}
 	return signs
 }
--- a/peers/register.go
+++ b/peers/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -15,7 +16,7 @@
 	// registerPause is how often a VM looks whether its row is there.
 	registerPause = 500 * time.Millisecond
 	// registerTimeout bounds the time a stopping VM spends on its row.
-	registerTimeout = 500 * time.Millisecond
+	registerTimeout = 250 * time.Millisecond
 )
 
 // Register keeps the row of this VM in the store; without it the VM may not use any primary.
@@ -24,12 +25,15 @@
 	Rows  model.Rows
 	World *world.World
 	Log   *log.Logger
+
+	failing  bool
+	stopping atomic.Bool
 }
 
 // Run writes the row wherever it is missing, until the context ends.
 func (r *Register) Run(ctx context.Context) {
 	for {
-		if r.World.State().VMs[r.Self.Name].Boot != r.Self.Boot {
+		if !r.stopping.Load() && r.World.State().VMs[r.Self.Name].Boot != r.Self.Boot {
 			r.write(ctx)
 		}
 		if !retry.Sleep(ctx, registerPause) {
@@ -43,13 +47,15 @@
 	if err == nil {
 		_, err = r.Rows.Apply(ctx, model.Change{Writes: []model.StoredRow{row}})
 	}
-	if err != nil {
-		r.Log.Warn("VM not registered", "error", err)
+	if (err != nil) != r.failing {
+		r.failing = err != nil
+		r.Log.Warn("registration of this VM", "failing", r.failing, "error", err)
 	}
 }
 
-// Remove deletes the row of a VM that stops, so that no switch waits for it.
+// Remove deletes the row of a VM that ends now, so that no switch waits for it; the VM may use no primary afterwards.
 func (r *Register) Remove(ctx context.Context) {
+	r.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	own, known := r.World.State().VMs[r.Self.Name]
--- a/serve/acked.go
+++ b/serve/acked.go
@@ -16,38 +16,56 @@
 	StuckSince time.Time
 }
 
-type acked struct {
-	mu     sync.Mutex
-	groups map[model.GroupName]Commits
-}
+// stuckTime is how long a commit without an answer says something about the primary, if no other is tried.
+const stuckTime = 1500 * time.Millisecond
 
-func newAcked() *acked { return &acked{groups: map[model.GroupName]Commits{}} }
+type (
+	acked struct {
+		mu     sync.Mutex
+		groups map[model.GroupName]tried
+	}
+
+	// tried is what was seen of a group with the instant at which a commit last went unanswered.
+	tried struct {
+		commits Commits
+		lostAt  time.Time
+	}
+)
+
+func newAcked() *acked { return &acked{groups: map[model.GroupName]tried{}} }
 
 func (a *acked) answered(now time.Time, group model.GroupName, mark model.Mark) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c := a.groups[group]
-	if c.Acked.Before(mark) {
-		c.Acked = mark
+	t := a.groups[group]
+	if t.commits.Acked.Before(mark) {
+		t.commits.Acked = mark
 	}
-	c.AckedAt, c.StuckSince = now, time.Time{}
-	a.groups[group] = c
+	t.commits.AckedAt, t.commits.StuckSince = now, time.Time{}
+	a.groups[group] = t
 }
 
-// unanswered records a commit that was sent at an instant and got no answer.
-func (a *acked) unanswered(sentAt time.Time, group model.GroupName) {
+// unanswered records a commit that was sent at an instant and got no answer until now.
+func (a *acked) unanswered(now, sentAt time.Time, group model.GroupName) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c := a.groups[group]
-	if c.StuckSince.IsZero() && c.AckedAt.Before(sentAt) {
-		c.StuckSince = sentAt
+	t := a.groups[group]
+	if t.commits.AckedAt.Before(sentAt) {
+		if t.commits.StuckSince.IsZero() || now.Sub(t.lostAt) > stuckTime {
+			t.commits.StuckSince = sentAt
+		}
+		t.lostAt = now
 	}
-	a.groups[group] = c
+	a.groups[group] = t
 }
 
-// Commits returns what this VM saw of commits in a group.
-func (s *Server) Commits(group model.GroupName) Commits {
+// Commits returns what this VM saw of commits in a group; commits that went unanswered long ago do not count as stuck.
+func (s *Server) Commits(now time.Time, group model.GroupName) Commits {
 	s.acked.mu.Lock()
 	defer s.acked.mu.Unlock()
-	return s.acked.groups[group]
+	t := s.acked.groups[group]
+	if now.Sub(t.lostAt) > stuckTime {
+		t.commits.StuckSince = time.Time{}
+	}
+	return t.commits
 }
--- a/serve/report.go
+++ b/serve/report.go
@@ -1,10 +1,20 @@
 package serve
 
 import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/model"
 )
 
+// latencyBuckets are the bounds of the latency histogram; the objectives of routes lie between 100 ms and a second.
+var latencyBuckets = tally.DurationBuckets{
+	2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+	150 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second,
+}
+
 // report writes the line of a decision on a request and counts it.
 func (c *caller) report(op operation, command model.Command, instance model.InstanceName, reply model.Reply, attempts int) {
 	latency := clock.Now().Sub(op.startedAt)
@@ -13,7 +23,7 @@
 		outcome = "Done"
 	}
 	c.server.config.Metrics.Tagged(map[string]string{"outcome": outcome}).Counter("statements").Inc(1)
-	c.server.config.Metrics.Timer("latency").Record(latency)
+	c.server.config.Metrics.Histogram("statement_latency", latencyBuckets).RecordDuration(latency)
 	c.server.config.Log.Info("statement", "id", command.ID, "kind", command.Kind, "route", op.route.Name, "team", op.team,
 		"policy", op.version, "instance", instance, "mark", reply.Mark, "attempts", attempts, "ms", latency.Milliseconds(),
 		"outcome", outcome, "detail", reply.Detail)
--- a/serve/write.go
+++ b/serve/write.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		c.server.failed(to.instance.Name, err)
 		if step.Kind == sess.StepWrite || step.Wrote {
-			c.server.acked.unanswered(sentAt, group)
+			c.server.acked.unanswered(now, sentAt, group)
 		}
 		return model.Reply{Fault: sess.Unanswered(step, !now.Before(deadline)), Detail: "the primary did not answer"}, nil
 	}
