--- /dev/null
+++ b/node/random_test.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/stand"
+)
+
+const (
+	// seedsVariable tells how many random runs are made, 2 unless it is set.
+	seedsVariable = "CROCUSSHORE_SEEDS"
+	// runTime is how long faults come in one run.
+	runTime = 5 * time.Second
+	// healTime bounds the time until all nodes serve after the last fault.
+	healTime = 12 * time.Second
+)
+
+// TestRandomFaults lets faults of instances and of the store come in random order under load. The stand-ins and the workload check
+// that nothing acknowledged is lost or doubled, nothing refused is kept, sessions read what they wrote, and tokens only grow.
+func TestRandomFaults(t *testing.T) {
+	seeds := 2
+	if text := os.Getenv(seedsVariable); text != "" {
+		parsed, err := strconv.Atoi(text)
+		require.NoError(t, err)
+		seeds = parsed
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { randomRun(t, uint64(seed)) })
+	}
+}
+
+func randomRun(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 11))
+	s := newSite(t, 3)
+	w := s.work()
+	for until := time.Now().Add(runTime); time.Now().Before(until); {
+		name := model.InstanceName(fmt.Sprintf("i-%d", 1+random.IntN(3)))
+		if primary, _ := s.cluster.Primary(); primary != "" && random.IntN(2) == 0 {
+			name = primary
+		}
+		fault := []stand.DatabaseFaults{{Down: true}, {Dark: true}, {Deaf: true}, {LoseAnswers: true}}[random.IntN(4)]
+		store := []stand.RowsFaults{{}, {}, {Away: true}, {LoseAnswers: 0.4}, {AwayFor: map[string]bool{"vm-1": true}}, {Latency: 60 * time.Millisecond}}[random.IntN(6)]
+		t.Logf("%s %+v, store %+v", name, fault, store)
+		s.rows.SetFaults(store)
+		s.cluster.SetFaults(name, fault)
+		time.Sleep(time.Duration(200+random.IntN(1800)) * time.Millisecond)
+		if random.IntN(3) == 0 {
+			s.rows.Forget()
+		}
+		s.rows.SetFaults(stand.RowsFaults{})
+		s.cluster.SetFaults(name, stand.DatabaseFaults{})
+		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return s.serves(0) && s.serves(1) && s.serves(2) }, healTime, 50*time.Millisecond, "all nodes serve again")
+	w.finish(t, s)
+}
--- /dev/null
+++ b/peers/peers_test.go
@@ -0,0 +1,109 @@
+package peers
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/elect"
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/watch"
+	"github.com/crocusshore/crocusshore/world"
+)
+
+// answers is a VM that answers its peers.
+type answers struct{}
+
+func (answers) Copies(r CopiesRequest) CopiesReply {
+	return CopiesReply{
+		Copies:  []watch.Copy{{Table: "t", Version: r.Versions["t"] + 1, Whole: true, Rows: []model.StoredRow{{Table: "t", Key: "k", Value: []byte{0, 255}}}}},
+		Waited:  r.Wait,
+		Samples: []Sample{{Group: "g", Mark: model.Mark{Term: 2, Position: 9}, Age: time.Second}},
+	}
+}
+
+func (answers) Release(r ReleaseRequest) elect.Release {
+	return elect.Release{VM: "vm", Known: model.Mark{Term: 1, Position: model.Position(r.Version)}}
+}
+
+func (answers) Opinion(OpinionRequest) elect.Opinion {
+	return elect.Opinion{VM: "vm", Reached: true, CommitAge: -1}
+}
+
+func serveAnswers(t *testing.T) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewServer(Handler(answers{}, log.New(io.Discard)))
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+func TestQuestionsTravelWhole(t *testing.T) {
+	peer := serveAnswers(t)
+	c := NewClient()
+	copies, err := c.Copies(t.Context(), peer, CopiesRequest{Versions: map[model.TableName]int64{"t": 6}, Wait: time.Second})
+	require.NoError(t, err)
+	require.Equal(t, answers{}.Copies(CopiesRequest{Versions: map[model.TableName]int64{"t": 6}, Wait: time.Second}), copies)
+	release, err := c.Release(t.Context(), peer, ReleaseRequest{Group: "g", Version: 8})
+	require.NoError(t, err)
+	require.Equal(t, model.Position(8), release.Known.Position)
+}
+
+func TestVMsThatDoNotAnswerAreMissing(t *testing.T) {
+	peer := serveAnswers(t)
+	silent := netip.MustParseAddrPort("127.0.0.1:1")
+	vms := []world.VM{{Name: "a", Peers: peer}, {Name: "b", Peers: silent}, {Name: "c", Peers: peer}}
+	opinions := NewClient().Opinions(t.Context(), vms, "g")
+	require.Len(t, opinions, 2)
+	require.ElementsMatch(t, []model.VMID{"a", "c"}, []model.VMID{opinions[0].VM, opinions[1].VM})
+}
+
+func TestBrokenQuestionsAreRefused(t *testing.T) {
+	peer := serveAnswers(t)
+	response, err := http.Post("http://"+peer.String()+pathRelease, "application/json", strings.NewReader("{"))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	require.Equal(t, http.StatusBadRequest, response.StatusCode)
+}
+
+func TestReaderThatDoesNotKeepUpIsPassedOver(t *testing.T) {
+	w := world.New(world.Config{VM: "a"})
+	var rows []model.StoredRow
+	for _, name := range []model.VMID{"a", "b", "c"} {
+		row, err := world.VM{Name: name, Domain: "east"}.Row()
+		require.NoError(t, err)
+		row.Version = 1
+		rows = append(rows, row)
+	}
+	now := time.Unix(1000, 0)
+	require.NoError(t, w.SetRows(1, true, rows, now))
+	order := map[model.VMID]*Relay{}
+	for _, name := range []model.VMID{"a", "b", "c"} {
+		order[name] = &Relay{Self: name, Domain: "east", World: w, Log: log.New(io.Discard)}
+	}
+	readers := 0
+	for _, r := range order {
+		if _, relayed := r.reader(now); !relayed {
+			readers++
+		}
+	}
+	require.Equal(t, 1, readers, "one VM of a failure domain reads the store")
+	for name, r := range order {
+		first, relayed := r.reader(now)
+		if !relayed {
+			continue
+		}
+		r.pass(now, true)
+		second, relayed := r.reader(now)
+		require.True(t, !relayed || second.Name != first.Name, "%s goes on to the next", name)
+		again, relayed := r.reader(now.Add(passTime + time.Second))
+		require.True(t, relayed)
+		require.Equal(t, first.Name, again.Name, "the first is tried again later")
+	}
+}
--- /dev/null
+++ b/stand/cluster_test.go
@@ -0,0 +1,90 @@
+package stand
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/model"
+)
+
+func newTestCluster() (*Cluster, []model.Instance) {
+	var instances []model.Instance
+	for i, name := range []model.InstanceName{"a", "b", "c"} {
+		role := model.RoleReplica
+		if i == 0 {
+			role = model.RolePrimary
+		}
+		instances = append(instances, model.Instance{Name: name, Group: "g", Role: role, Address: netip.MustParseAddrPort("10.0.0.1:1")})
+	}
+	return NewCluster(ClusterConfig{Group: "g", Instances: instances, PromoteTime: time.Millisecond, OldTime: time.Millisecond}), instances
+}
+
+// commitOne commits a write that only replica b receives.
+func commitOne(t *testing.T, c *Cluster, instances []model.Instance) {
+	t.Helper()
+	c.SetFaults("c", DatabaseFaults{Deaf: true})
+	link, err := c.Dial(time.Now().Add(time.Second), instances[0], "team")
+	require.NoError(t, err)
+	defer link.Close()
+	done := make(chan error, 1)
+	go func() {
+		_, err := link.Exchange(time.Now().Add(time.Second), model.Query{ID: "w", Text: "WRITE item x"})
+		done <- err
+	}()
+	require.Eventually(t, func() bool {
+		c.Pull(time.Now())
+		return len(done) > 0
+	}, time.Second, time.Millisecond)
+	require.NoError(t, <-done)
+}
+
+func TestClusterFindsALostCommit(t *testing.T) {
+	c, instances := newTestCluster()
+	commitOne(t, c, instances)
+	require.NoError(t, c.Promote(t.Context(), model.PromoteOrder{Group: "g", Target: "c", Fence: 1}))
+	require.Eventually(t, func() bool { return len(c.Breaches()) > 0 }, time.Second, time.Millisecond)
+}
+
+func TestClusterAcceptsAPromotionThatLosesNothing(t *testing.T) {
+	c, instances := newTestCluster()
+	commitOne(t, c, instances)
+	require.NoError(t, c.Promote(t.Context(), model.PromoteOrder{Group: "g", Target: "b", Fence: 1}))
+	require.Eventually(t, func() bool { name, term := c.Primary(); return name == "b" && term == 2 }, time.Second, time.Millisecond)
+	require.Empty(t, c.Breaches())
+	require.Equal(t, 1, c.Count("w"))
+}
+
+func TestClusterFindsAnOlderToken(t *testing.T) {
+	c, _ := newTestCluster()
+	require.NoError(t, c.Promote(t.Context(), model.PromoteOrder{Group: "g", Target: "b", Fence: 2}))
+	require.NoError(t, c.Promote(t.Context(), model.PromoteOrder{Group: "g", Target: "c", Fence: 1}))
+	require.NotEmpty(t, c.Breaches())
+}
+
+func TestPausedReplicaReceivesNothing(t *testing.T) {
+	c, instances := newTestCluster()
+	link, err := c.Dial(time.Now().Add(time.Second), instances[1], "team")
+	require.NoError(t, err)
+	state, err := link.Pause(time.Now().Add(time.Second), 2)
+	require.NoError(t, err)
+	require.Equal(t, model.Term(2), state.Held)
+	before := state.Received
+	primary, err := c.Dial(time.Now().Add(time.Second), instances[0], "team")
+	require.NoError(t, err)
+	c.SetFaults("c", DatabaseFaults{Deaf: true})
+	_, err = primary.Exchange(time.Now().Add(30*time.Millisecond), model.Query{ID: "w", Text: "WRITE item x"})
+	require.Error(t, err, "nobody confirms the commit")
+	c.Pull(time.Now())
+	state, err = link.Status(time.Now().Add(time.Second))
+	require.NoError(t, err)
+	require.Equal(t, before, state.Received)
+	_, err = link.Resume(time.Now().Add(time.Second))
+	require.NoError(t, err)
+	c.Pull(time.Now())
+	state, err = link.Status(time.Now().Add(time.Second))
+	require.NoError(t, err)
+	require.Equal(t, model.Position(1), state.Received.Position)
+}
