--- /dev/null
+++ b/daemon/doc.go
@@ -0,0 +1,2 @@
+// Command daemon runs a node with nothing else linked in, which keeps its start and its memory small.
+package main
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -1,4 +1,3 @@
-// Command daemon runs a node with nothing else linked in, which keeps its start and its memory small.
 package main
 
 import (
