--- a/model/link.go
+++ b/model/link.go
@@ -38,7 +38,9 @@
 		Proof  string
 		Fault  Fault
 		Detail string
-		State  TxState
+		// RetryAfter is when a refused caller may come back; it is 0 where nothing is known.
+		RetryAfter time.Duration
+		State      TxState
 		// Mark is the end of the log of the instance after the statement; it is zero where unknown.
 		Mark Mark
 	}
--- a/serve/caller.go
+++ b/serve/caller.go
@@ -82,6 +82,7 @@
 			return
 		}
 		reply, last := c.handle(command)
+		reply = c.server.advise(reply)
 		reply.State = c.session.State
 		c.inTransaction.Store(c.session.State != model.TxNone)
 		if err := c.conn.Answer(reply); err != nil || last {
@@ -207,7 +208,18 @@
 }
 
 func (s *Server) refuse(fault model.Fault, reason string, after time.Duration) model.Reply {
-	return model.Reply{Fault: fault, Detail: s.config.RetryDetail(reason, after)}
+	return model.Reply{Fault: fault, Detail: s.config.RetryDetail(reason, after), RetryAfter: after}
+}
+
+// advise adds to the refusal of an instance, which says nothing of it, when to come back.
+func (s *Server) advise(reply model.Reply) model.Reply {
+	switch reply.Fault {
+	case model.FaultBusy, model.FaultLagging, model.FaultReadOnly:
+		if reply.RetryAfter == 0 {
+			return s.refuse(reply.Fault, "refused by the instance "+reply.Detail, comeBack)
+		}
+	}
+	return reply
 }
 
 // single runs one statement outside a transaction.
--- a/serve/read.go
+++ b/serve/read.go
@@ -73,7 +73,7 @@
 
 // unserved tells the caller of a statement that no instance answered.
 func (c *caller) unserved(step sess.Step, last attempt, deadline time.Time) model.Reply {
-	if !last.sent || (last.err == nil && last.reply.Fault.NotRun()) {
+	if !last.sent {
 		return c.server.refuse(model.FaultBusy, "no instance can take the statement", comeBack)
 	}
 	if last.err == nil {
