Rows of VMs that did not confirm stay, and a VM whose row is gone counts as one that did not tell what it knows

The replacement of one group deleted the rows of seven VMs behind a cut. That of another group, running beside it, then took the 14 others for all VMs, compared two of three replicas and promoted; the deleted VMs had acknowledged commits that only the third, leaving replica in their failure domain confirmed. Their leases by witnesses of the other group were not over either. Ruled out: the replica that left (it was still registered, and counted as not stopped). Test: world, TestRemovedVMIsRemembered.

--- a/orders/compare.go
+++ b/orders/compare.go
@@ -79,13 +79,15 @@
 
 // compare returns the replica that has every acknowledged commit, if that is certain.
 func (r *replacement) compare(now time.Time) (model.Instance, bool) {
-	evidence := elect.Evidence{Replicas: r.replicas, AllReleased: r.released(), Departed: r.s.config.World.Departed(now, r.group)}
+	evidence := elect.Evidence{
+		Replicas: r.replicas, AllReleased: r.released() && !r.s.config.World.VMsRemoved(now), Departed: r.s.config.World.Departed(now, r.group),
+	}
 	for _, release := range r.releases {
 		evidence.Releases = append(evidence.Releases, release)
 	}
 	chosen, ok := elect.Choose(evidence)
 	r.s.config.Log.Info("replicas compared", "group", r.group, "chosen", chosen.Instance.Name, "safe", ok, "replicas", describe(r.replicas),
-		"released", len(r.releases), "departed", evidence.Departed)
+		"released", len(r.releases), "all", evidence.AllReleased, "departed", evidence.Departed)
 	return chosen.Instance, ok
 }
 
--- a/orders/promote.go
+++ b/orders/promote.go
@@ -68,7 +68,6 @@
 	if err != nil {
 		return err
 	}
-	r.removeSilent(ctx)
 	if !r.oldKnown {
 		return nil
 	}
@@ -77,18 +76,3 @@
 	}
 	return nil
 }
-
-// removeSilent deletes the rows of VMs that did not confirm, so that the next replacement does not wait for them; a VM that lives
-// registers again and uses no primary before.
-func (r *replacement) removeSilent(ctx context.Context) {
-	for name, vm := range r.s.config.World.State().VMs {
-		if _, done := r.releases[name]; done {
-			continue
-		}
-		row, err := vm.Row()
-		if err == nil {
-			_, err = r.s.config.Rows.Apply(ctx, model.Change{Expected: []model.StoredRow{row}, Deletes: []model.StoredRow{row}})
-		}
-		r.s.config.Log.Info("silent VM removed from the table", "vm", name, "row", vm.Version, "error", err)
-	}
-}
--- a/world/world.go
+++ b/world/world.go
@@ -39,6 +39,8 @@
 		lapsed map[model.InstanceName]bool
 		// departed holds when a replica of a group was last forgotten.
 		departed map[model.GroupName]time.Time
+		// removedAt is when the row of a VM was last seen deleted.
+		removedAt time.Time
 	}
 )
 
@@ -161,16 +163,34 @@
 		fresh := newState()
 		next.Leads, next.VMs, next.Duty = fresh.Leads, fresh.VMs, fresh.Duty
 	}
+	before := w.state.Load().VMs
 	var broken []error
 	for _, r := range rows {
 		if err := next.apply(r); err != nil {
 			broken = append(broken, err)
 		}
 	}
+	w.noteRemoved(before, next.VMs, at)
 	w.state.Store(next)
 	return errors.Join(broken...)
 }
 
+// noteRemoved remembers when the row of a VM was last deleted.
+func (w *World) noteRemoved(before, after map[model.VMID]VM, at time.Time) {
+	for name := range before {
+		if _, there := after[name]; !there && at.After(w.removedAt) {
+			w.removedAt = at
+		}
+	}
+}
+
+// VMsRemoved tells whether the row of a VM was deleted lately: such a VM cannot be asked what it knows to be acknowledged.
+func (w *World) VMsRemoved(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.removedAt.IsZero() && now.Sub(w.removedAt) < departedTime
+}
+
 // ProvenAt returns the newest instant at which the own table was known to be current.
 func (w *World) ProvenAt() time.Time {
 	w.mu.Lock()
--- a/world/world_test.go
+++ b/world/world_test.go
@@ -89,6 +89,19 @@
 	require.False(t, ok)
 }
 
+// TestRemovedVMIsRemembered replays scale-2 of ladica-split, seed 920264961529: the replacement of one group deleted the rows of VMs
+// behind a cut, and that of another group took the rest for all VMs and lost commits that the deleted ones had acknowledged.
+func TestRemovedVMIsRemembered(t *testing.T) {
+	w := settled(t)
+	require.False(t, w.VMsRemoved(at(10)))
+	require.NoError(t, w.SetRows(6, false, []model.StoredRow{{Table: Table, Key: "vm/vm", Version: 6, Removed: true}}, at(10)))
+	require.True(t, w.VMsRemoved(at(20)))
+	require.False(t, w.VMsRemoved(at(10).Add(departedTime)))
+	whole := settled(t)
+	require.NoError(t, whole.SetRows(6, true, []model.StoredRow{lead(t, 5, 1, nil)}, at(30)))
+	require.True(t, whole.VMsRemoved(at(40)), "a table that is read anew shows it too")
+}
+
 func TestWitnessesProveWhileTheStoreIsAway(t *testing.T) {
 	w := settled(t)
 	w.Witness("g", 1, at(2500))
