One patience of an operation, one proof of a lease, one end of a spell of failures

Read as a newcomer: how long an operation may wait stood in four places (serve), the newest proof in two (world), the end of failures in two (place); ready took a time that it did not use.

--- a/node/local.go
+++ b/node/local.go
@@ -13,11 +13,10 @@
 	mostHeldBack = 2 * time.Second
 	// oldestSample is the age from which on a position serves no route.
 	oldestSample = 3 * time.Second
+	// freshAnswer is how old the last answer of a primary may be to spare it a question.
+	freshAnswer = 150 * time.Millisecond
 )
 
-// freshAnswer is how old the last answer of a primary may be to spare it a question.
-const freshAnswer = 150 * time.Millisecond
-
 // Copies returns what this VM knows of the store's tables and of the positions of primaries.
 func (n *Node) Copies(request peers.CopiesRequest) peers.CopiesReply {
 	waited := n.follower.Await(request.Versions, min(request.Wait, mostHeldBack))
--- a/node/ready.go
+++ b/node/ready.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/peers"
 	"github.com/crocusshore/crocusshore/platform"
 )
@@ -46,13 +45,13 @@
 }
 
 func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if !n.ready(clock.Now()) {
+	if !n.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
 // ready tells whether the VM can serve callers: it is not stopping, knows the settings and can use some primary or knows where one is.
-func (n *Node) ready(_ time.Time) bool {
+func (n *Node) ready() bool {
 	if n.stopping.Load() {
 		return false
 	}
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -36,7 +36,7 @@
 	c.must(t, "WRITE item b")
 	c.must(t, "COMMIT")
 	require.True(t, s.serves(0), "callers that the balancer still sends are served")
-	require.False(t, s.nodes[0].ready(time.Now()))
+	require.False(t, s.nodes[0].ready())
 	select {
 	case <-stopped:
 	case <-time.After(4 * time.Second):
--- a/place/track.go
+++ b/place/track.go
@@ -52,7 +52,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.of(instance)
-	s.answeredAt, s.failures, s.failingAt, s.failedAt = now, 0, time.Time{}, time.Time{}
+	s.alive(now)
 	usual := t.usual[route]
 	if usual == 0 {
 		usual = latency.Seconds()
@@ -70,8 +70,7 @@
 func (t *Track) Alive(now time.Time, instance model.InstanceName) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.of(instance)
-	s.answeredAt, s.failures, s.failingAt, s.failedAt = now, 0, time.Time{}, time.Time{}
+	t.of(instance).alive(now)
 }
 
 // Failed records that an instance could not be reached or did not answer.
@@ -115,3 +114,8 @@
 	}
 	return s
 }
+
+// alive ends a spell of failures.
+func (s *seen) alive(now time.Time) {
+	s.answeredAt, s.failures, s.failingAt, s.failedAt = now, 0, time.Time{}, time.Time{}
+}
--- a/serve/pick.go
+++ b/serve/pick.go
@@ -59,11 +59,14 @@
 
 // get takes a connection of the team to the chosen instance.
 func (c *caller) get(now time.Time, op operation, to choice) (*conns.Conn, error) {
-	wait := max(time.Duration(waitShare*float64(op.route.Target)), leastWait)
-	conn, err := c.server.config.Pool.Get(now, conns.Request{
-		Instance: to.instance, Team: op.team, Values: c.session.Values, Class: class(op.route.Priority), Deadline: now.Add(wait),
+	return c.server.config.Pool.Get(now, conns.Request{
+		Instance: to.instance, Team: op.team, Values: c.session.Values, Class: class(op.route.Priority), Deadline: now.Add(op.patience()),
 	})
-	return conn, err
+}
+
+// patience is how long the operation may wait for an instance, a connection or a primary before it is refused.
+func (o operation) patience() time.Duration {
+	return max(time.Duration(waitShare*float64(o.route.Target)), leastWait)
 }
 
 // class maps the priority of a route to the class of its requests.
--- a/serve/read.go
+++ b/serve/read.go
@@ -40,7 +40,7 @@
 	for now := op.startedAt; attempts < maxAttempts && now.Before(deadline); now = clock.Now() {
 		to, ok := c.untried(now, op, tried)
 		if !ok {
-			if now.Sub(op.startedAt) > max(time.Duration(waitShare*float64(op.route.Target)), leastWait) {
+			if now.Sub(op.startedAt) > op.patience() {
 				break
 			}
 			time.Sleep(busyPause)
--- a/serve/write.go
+++ b/serve/write.go
@@ -16,7 +16,7 @@
 
 // primary returns the primary of a group; while it is being replaced it waits for as long as the latency objective allows.
 func (c *caller) primary(op operation) (choice, bool) {
-	patience := op.startedAt.Add(max(time.Duration(waitShare*float64(op.route.Target)), leastWait))
+	patience := op.startedAt.Add(op.patience())
 	for {
 		now := clock.Now()
 		lease, ok := c.server.config.World.Lease(now, op.route.Group)
@@ -34,7 +34,7 @@
 func (c *caller) write(op operation, s statement) model.Reply {
 	step := sess.Step{Kind: sess.StepWrite}
 	deadline := op.startedAt.Add(op.route.Timeout)
-	patience := op.startedAt.Add(max(time.Duration(waitShare*float64(op.route.Target)), leastWait))
+	patience := op.startedAt.Add(op.patience())
 	var reply model.Reply
 	var to choice
 	for attempts := 1; ; attempts++ {
--- a/world/lease.go
+++ b/world/lease.go
@@ -27,11 +27,7 @@
 	if !known || lead.Next != nil || lead.Version < w.revoked[group] || s.VMs[w.config.VM].Boot != w.config.Boot {
 		return Lease{}, false
 	}
-	proof := w.provenAt
-	if at := w.witnessedAt[group]; at.After(proof) {
-		proof = at
-	}
-	lease := Lease{Group: group, Term: lead.Term, Primary: primary, Until: proof.Add(w.config.LeaseBound)}
+	lease := Lease{Group: group, Term: lead.Term, Primary: primary, Until: w.proof(group).Add(w.config.LeaseBound)}
 	return lease, now.Before(lease.Until)
 }
 
@@ -62,9 +58,14 @@
 func (w *World) ProofAge(now time.Time, group model.GroupName) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return now.Sub(w.proof(group))
+}
+
+// proof returns the instant of the last proof for a group; the caller holds the lock.
+func (w *World) proof(group model.GroupName) time.Time {
 	proof := w.provenAt
 	if at := w.witnessedAt[group]; at.After(proof) {
 		proof = at
 	}
-	return now.Sub(proof)
+	return proof
 }
