One VM of a failure domain admits for a team, and the others ask it

Each VM held a part of each team's rate; of a team with 7 to 12 operations a second, 21 VMs held less than one token each, and loans came after the caller was turned away. Change: the first VM by rendezvous hashing admits for a team in its failure domain; only these VMs, one a failure domain, divide the rate, tell demand and lend. A VM that does not answer in 40 ms is passed over, the next starts with one token, and a VM that reaches none uses an even part of its failure domain's part. Buckets of an idle VM no longer hold a token each.

--- a/node/budget.go
+++ b/node/budget.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/policy"
@@ -41,11 +42,8 @@
 	return team, known
 }
 
-// weight returns the part of the callers that this VM expects.
+// weight returns the part of a team's callers that come to this failure domain while nothing is known.
 func (n *Node) weight() float64 {
-	inDomain := map[model.Domain]int{}
-	for _, vm := range n.world.State().VMs {
-		inDomain[vm.Domain]++
-	}
-	return share.Weight(len(inDomain), inDomain[n.config.Settings.Domain])
+	_, domains := n.ranks.Size(clock.Now(), n.config.Settings.Domain)
+	return share.Weight(domains)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -66,7 +66,8 @@
 		pool     *conns.Pool
 		samples  *sample.Samples
 		track    *place.Track
-		limiter  *share.Limiter
+		ranks    *world.Ranks
+		rates    *peers.Rates
 		server   *serve.Server
 		follower *watch.Follower
 		register *peers.Register
@@ -85,9 +86,13 @@
 	n.settings.Store(&s)
 	n.world = world.New(world.Config{VM: s.VM, Boot: n.boot, LeaseBound: leaseBound})
 	n.pool = conns.New(conns.Config{Dialer: config.Dialer, Phrases: platform.Phrases{}, Budget: n.budget})
-	n.limiter = share.New(clock.Now(), share.Config{Weight: n.weight, Team: n.team, Slack: s.RateSlack})
+	n.ranks = world.NewRanks(n.world)
+	limiter := share.New(clock.Now(), share.Config{Weight: n.weight, Team: n.team, Slack: s.RateSlack})
+	n.rates = peers.NewRates(clock.Now(), peers.RatesConfig{
+		Self: s.VM, Domain: s.Domain, Ranks: n.ranks, Limiter: limiter, Team: n.team, Log: config.Log,
+	})
 	n.server = serve.New(serve.Config{
-		Domain: s.Domain, World: n.world, Pool: n.pool, Samples: n.samples, Track: n.track, Limiter: n.limiter,
+		Domain: s.Domain, World: n.world, Pool: n.pool, Samples: n.samples, Track: n.track, Limiter: n.rates,
 		Phrases: platform.Phrases{}, Log: config.Log, Metrics: config.Scope, RetryDetail: platform.RetryDetail,
 		Reader: func() bool { return !n.follower.IsRelayed() },
 	})
@@ -116,8 +121,7 @@
 	if err != nil {
 		return errors.WithHint(err, "is another process using the callers' address?")
 	}
-	gossip := &peers.Gossip{Self: s.VM, Domain: s.Domain, World: n.world, Limiter: n.limiter, Log: n.config.Log}
-	if err := gossip.Listen(n.gossipAddress()); err != nil {
+	if err := n.rates.Listen(n.gossipAddress()); err != nil {
 		return err
 	}
 	if err := n.listen(); err != nil {
@@ -125,7 +129,7 @@
 	}
 	n.follower.Start(ctx)
 	go n.register.Run(ctx)
-	go gossip.Run(ctx)
+	go n.rates.Run(ctx)
 	go n.relay().Run(ctx)
 	go n.server.Refresh(ctx)
 	go n.supervisor().Run(ctx)
--- /dev/null
+++ b/peers/rates_test.go
@@ -0,0 +1,134 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/policy"
+	"github.com/crocusshore/crocusshore/share"
+	"github.com/crocusshore/crocusshore/world"
+)
+
+var limits = policy.Team{Name: "team", Rate: 30, Burst: 60}
+
+var lastAddress atomic.Int64
+
+// crowd is a number of VMs that admit for each other over loopback.
+type crowd struct {
+	vms   []world.VM
+	rates map[model.VMID]*Rates
+	stop  map[model.VMID]context.CancelFunc
+}
+
+// newCrowd starts VMs in failure domains of the sizes given; the names tell domain and number.
+func newCrowd(t *testing.T, sizes ...int) *crowd {
+	t.Helper()
+	f := &crowd{rates: map[model.VMID]*Rates{}, stop: map[model.VMID]context.CancelFunc{}}
+	for domain, size := range sizes {
+		for i := range size {
+			n := lastAddress.Add(1)
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(60 + os.Getpid()%60), byte(n / 250), byte(1 + n%250)}), 7000)
+			f.vms = append(f.vms, world.VM{Name: model.VMID(fmt.Sprintf("%d-%d", domain, i)), Domain: model.Domain(fmt.Sprint(domain)), Gossip: address})
+		}
+	}
+	for _, vm := range f.vms {
+		f.start(t, vm, len(sizes))
+	}
+	return f
+}
+
+func (f *crowd) start(t *testing.T, vm world.VM, domains int) {
+	t.Helper()
+	w := world.New(world.Config{VM: vm.Name})
+	var rows []model.StoredRow
+	for _, other := range f.vms {
+		row, err := other.Row()
+		require.NoError(t, err)
+		row.Version = 1
+		rows = append(rows, row)
+	}
+	now := clock.Now()
+	require.NoError(t, w.SetRows(1, true, rows, now))
+	team := func(name model.TeamName) (policy.Team, bool) { return limits, name == limits.Name }
+	// The limiter has run for a while, so that its buckets are full.
+	limiter := share.New(now.Add(-time.Minute), share.Config{Weight: func() float64 { return share.Weight(domains) }, Team: team, Slack: 20})
+	r := NewRates(now.Add(-time.Minute), RatesConfig{
+		Self: vm.Name, Domain: vm.Domain, Ranks: world.NewRanks(w), Limiter: limiter, Team: team, Log: log.New(io.Discard),
+	})
+	r.config.Ranks.ChangedAt(now.Add(-time.Minute))
+	require.NoError(t, r.Listen(vm.Gossip))
+	ctx, cancel := context.WithCancel(context.Background())
+	go r.Run(ctx)
+	f.rates[vm.Name], f.stop[vm.Name] = r, cancel
+	t.Cleanup(func() {
+		cancel()
+		_ = r.gossip.conn.Close()
+	})
+}
+
+// admitted returns how many of the operations that come to a VM at once are admitted.
+func (f *crowd) admitted(vm model.VMID, operations int) int {
+	count := 0
+	for range operations {
+		if f.rates[vm].Admit(clock.Now(), limits).Admitted {
+			count++
+		}
+	}
+	return count
+}
+
+// first returns the VMs of a failure domain in the order in which they admit for the team.
+func (f *crowd) first(domain model.Domain) []world.VM {
+	return f.rates[f.vms[0].Name].config.Ranks.Of(clock.Now(), domain, share.Duty(limits.Name))
+}
+
+func TestVMsOfAFailureDomainShareOneBucket(t *testing.T) {
+	// Each of many VMs once had a part of its own, which for a small team was less than one operation.
+	f := newCrowd(t, 12, 1)
+	total := 0
+	for _, vm := range f.first("0") {
+		total += f.admitted(vm.Name, 2)
+	}
+	require.Equal(t, 24, total, "every VM gets tokens while the failure domain has some")
+	total += f.admitted(f.first("0")[5].Name, 60)
+	require.LessOrEqual(t, total, int(limits.Burst)+20, "all VMs together stay within the burst")
+}
+
+func TestVMThatAdmitsDoesNotAnswer(t *testing.T) {
+	f := newCrowd(t, 4, 1)
+	ranked := f.first("0")
+	require.NoError(t, f.rates[ranked[0].Name].gossip.conn.Close())
+	start := time.Now()
+	require.Positive(t, f.admitted(ranked[3].Name, 1), "the next one stands in")
+	require.Less(t, time.Since(start), askTimeout+100*time.Millisecond)
+	start = time.Now()
+	standIn := f.admitted(ranked[2].Name, 40)
+	require.Less(t, standIn, 10, "it does not start with a burst")
+	require.Less(t, time.Since(start), 10*askTimeout, "a silent VM is passed over for a while")
+}
+
+func TestVMThatIsCutOffAdmitsItsOwnPart(t *testing.T) {
+	f := newCrowd(t, 4, 1)
+	ranked := f.first("0")
+	for _, vm := range ranked[:3] {
+		require.NoError(t, f.rates[vm.Name].gossip.conn.Close())
+	}
+	require.Equal(t, 1, f.admitted(ranked[3].Name, 20))
+}
+
+func TestLateAnswersAreDropped(t *testing.T) {
+	f := newCrowd(t, 2)
+	f.rates["0-0"].settle(admitted{ID: 77, Verdict: share.Verdict{Admitted: true}})
+	require.Empty(t, f.rates["0-0"].pending)
+}
--- a/share/lend.go
+++ b/share/lend.go
@@ -47,8 +47,8 @@
 	return wants
 }
 
-// Lend takes tokens that this VM does not need soon out of its bucket; the result may hold none.
-func (l *Limiter) Lend(now time.Time, self model.VMID, ask Loan) Loan {
+// Lend takes tokens that this VM does not need soon out of its bucket, with since as for Admit; the result may hold none.
+func (l *Limiter) Lend(now time.Time, self model.VMID, ask Loan, since time.Time) Loan {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	loan := Loan{VM: self, Team: ask.Team}
@@ -56,7 +56,7 @@
 	if !known {
 		return loan
 	}
-	t := l.team(ask.Team)
+	t := l.team(ask.Team, since)
 	l.refill(now, limits, t)
 	spare := t.bucket.tokens
 	if demand := t.demand.read(now); demand >= recentDemand {
@@ -77,7 +77,7 @@
 	if !known || loan.Tokens <= 0 {
 		return
 	}
-	t := l.team(loan.Team)
+	t := l.team(loan.Team, now)
 	_, size := l.refill(now, limits, t)
 	t.bucket.tokens = min(size, t.bucket.tokens+loan.Tokens)
 }
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// remember is how long the demand that another VM told counts; a VM that is cut off goes on using its part for as long.
-	remember = 15 * time.Second
+	// remember is how long the demand that another VM told counts; a failure domain that is cut off goes on using its part meanwhile.
+	remember = 30 * time.Second
 	// settled is how old a report must be before a VM relies on it, also on its own: by then all others know it, so that parts
 	// never add up to more than the rate while demand rises everywhere at once.
 	settled = 2200 * time.Millisecond
@@ -84,21 +84,25 @@
 	return &Limiter{config: config, started: now, teams: map[model.TeamName]*team{}}
 }
 
-// Admit spends a token of a team, or tells when there is one.
-func (l *Limiter) Admit(now time.Time, limits policy.Team) Verdict {
+// Admit spends a token of a team, or tells when there is one; since is when this VM became the one that admits for the team, from
+// when on a bucket that it did not have before fills.
+func (l *Limiter) Admit(now time.Time, limits policy.Team, since time.Time) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.team(limits.Name)
+	t := l.team(limits.Name, since)
 	part, _ := l.refill(now, limits, t)
 	t.demand.count(now)
 	after, ok := t.bucket.take(part)
 	return Verdict{Admitted: ok, RetryAfter: after, Part: part, Demand: t.demand.read(now), Fleet: l.others(now, limits.Name)}
 }
 
-func (l *Limiter) team(name model.TeamName) *team {
+func (l *Limiter) team(name model.TeamName, since time.Time) *team {
 	t := l.teams[name]
 	if t == nil {
-		t = &team{bucket: bucket{at: l.started}}
+		if since.Before(l.started) {
+			since = l.started
+		}
+		t = &team{bucket: bucket{at: since}}
 		l.teams[name] = t
 	}
 	return t
--- a/share/split.go
+++ b/share/split.go
@@ -18,11 +18,8 @@
 	return own + (rate-total)*weight
 }
 
-// Weight returns what a VM expects of a demand that is divided evenly among the failure domains, as callers are sent to the VMs of
-// their own, and then among the VMs of each.
-func Weight(domains, vmsInDomain int) float64 {
-	return 1 / float64(max(1, domains)*max(1, vmsInDomain))
-}
+// Weight returns what the VM that admits for a failure domain expects of a demand, as callers are sent to the VMs of their own.
+func Weight(domains int) float64 { return 1 / float64(max(1, domains)) }
 
 const (
 	// usedSlack is the share of the slack that is given out.
