VMs use connections that two VMs of their failure domain hold, where an instance takes too few for all

Weighed: subsets of VMs for each instance (callers of a VM reach every group, so each VM needs them all), lending of a connection for a while (its values and prepared names would move with it), homes. A home runs the statement on its own pool, checks the lease on the primary itself before it writes to the socket, and counts it for a switch; the VM of the caller checks again before it acknowledges. A home that does not answer is passed over for 2 s; what was sent to it stays in doubt, and says nothing of the instance.

--- a/conns/budget.go
+++ b/conns/budget.go
@@ -10,9 +10,14 @@
 )
 
 // Budget returns how many connections a VM may hold to an instance that takes most connections from all VMs together.
+func Budget(most, near, far int, local, primary bool) int {
+	return max(leastBudget, int(Part(most, near, far, local, primary)))
+}
+
+// Part returns the part of a VM in the connections that an instance takes.
 //
 // Every VM of the instance's failure domain counts once, and the others count less unless the instance is the primary.
-func Budget(most, near, far int, local, primary bool) int {
+func Part(most, near, far int, local, primary bool) float64 {
 	far64 := farWeight
 	if primary {
 		far64 = 1
@@ -22,5 +27,5 @@
 	if local {
 		own = 1
 	}
-	return max(leastBudget, int(float64(most-spareConnections)*own/max(total, 1)))
+	return float64(most-spareConnections) * own / max(total, 1)
 }
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -40,8 +40,15 @@
 // Break marks the connection as one that must not be used again.
 func (c *Conn) Break() { c.broken = true }
 
-// Link returns the link below, for orders to the instance.
-func (c *Conn) Link() model.Link { return c.link }
+// Status asks the instance for its state; an error that is no refusal breaks the connection.
+func (c *Conn) Status(deadline time.Time) (model.InstanceState, error) {
+	state, err := c.link.Status(clock.Wall(deadline))
+	var refused *model.LinkError
+	if err != nil && !errors.As(err, &refused) {
+		c.broken = true
+	}
+	return state, err
+}
 
 // Run brings the connection to the values of the session and runs one query; prepared is the shape that the query executes.
 //
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -43,6 +43,8 @@
 		Deadline time.Time
 		// AnyTeam takes an idle connection of whatever team, for orders to the instance.
 		AnyTeam bool
+		// Term is set where the instance is used as the primary of that term.
+		Term model.Term
 	}
 
 	// Pool holds the connections of a VM; it is safe for concurrent use.
--- a/model/link.go
+++ b/model/link.go
@@ -6,8 +6,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrNoAnswer reports a connection that broke or stayed silent after statements were sent; each of them may have run.
-var ErrNoAnswer = errors.New("the connection ended before the answer")
+var (
+	// ErrNoAnswer reports a connection that broke or stayed silent after statements were sent; each of them may have run.
+	ErrNoAnswer = errors.New("the connection ended before the answer")
+	// ErrNotSent reports that an instance got nothing of what was to be sent.
+	ErrNotSent = errors.New("nothing was sent to the instance")
+)
 
 // TxState is where a session stands.
 type TxState string
--- a/node/budget.go
+++ b/node/budget.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"slices"
+
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/policy"
 	"github.com/crocusshore/crocusshore/share"
+	"github.com/crocusshore/crocusshore/world"
 )
 
 // defaultConnections is how many connections an instance is believed to take while no settings name its group.
@@ -13,23 +16,28 @@
 
 // budget returns how many connections this VM may hold to an instance.
 func (n *Node) budget(instance model.Instance) int {
+	now := clock.Now()
 	s := n.world.State()
-	most := defaultConnections
-	if s.Policy != nil {
-		if group, known := s.Policy.Groups[instance.Group]; known && group.Connections > 0 {
-			most = group.Connections
-		}
+	most := mostConnections(s, instance.Group)
+	near, _ := n.ranks.Size(now, instance.Domain)
+	far := len(s.VMs) - near
+	own, _ := n.ranks.Size(now, n.config.Settings.Domain)
+	local := instance.Domain == n.config.Settings.Domain
+	primary := s.Leads[instance.Group].Primary == instance.Name
+	if !conns.Shared(most, len(s.VMs)) {
+		return conns.Budget(most, near, far, local, primary)
 	}
-	near, far := 0, 0
-	for _, vm := range s.VMs {
-		if vm.Domain == instance.Domain {
-			near++
-		} else {
-			far++
+	rank := slices.IndexFunc(n.homes(now, instance.Name), func(vm world.VM) bool { return vm.Name == n.config.Settings.VM })
+	return conns.HomeBudget(conns.Part(most, near, far, local, primary), own, rank)
+}
+
+func mostConnections(s *world.State, group model.GroupName) int {
+	if s.Policy != nil {
+		if g, known := s.Policy.Groups[group]; known && g.Connections > 0 {
+			return g.Connections
 		}
 	}
-	primary := s.Leads[instance.Group].Primary == instance.Name
-	return conns.Budget(most, near, far, instance.Domain == n.config.Settings.Domain, primary)
+	return defaultConnections
 }
 
 // team returns the limits of a team as the settings in force state them.
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/crocusshore/crocusshore/peers"
 	"github.com/crocusshore/crocusshore/place"
 	"github.com/crocusshore/crocusshore/platform"
+	"github.com/crocusshore/crocusshore/remote"
 	"github.com/crocusshore/crocusshore/sample"
 	"github.com/crocusshore/crocusshore/serve"
 	"github.com/crocusshore/crocusshore/share"
@@ -91,8 +92,9 @@
 	n.rates = peers.NewRates(clock.Now(), peers.RatesConfig{
 		Self: s.VM, Domain: s.Domain, Ranks: n.ranks, Limiter: limiter, Team: n.team, Log: config.Log,
 	})
+	source := remote.NewSource(remote.SourceConfig{Pool: n.pool, Client: remote.NewClient(), Homes: n.connectionHomes})
 	n.server = serve.New(serve.Config{
-		Domain: s.Domain, World: n.world, Pool: n.pool, Samples: n.samples, Track: n.track, Limiter: n.rates,
+		Domain: s.Domain, World: n.world, Pool: n.pool, Source: source, Samples: n.samples, Track: n.track, Limiter: n.rates,
 		Phrases: platform.Phrases{}, Log: config.Log, Metrics: config.Scope, RetryDetail: platform.RetryDetail,
 		Reader: func() bool { return !n.follower.IsRelayed() },
 	})
@@ -127,13 +129,16 @@
 	if err := n.listen(); err != nil {
 		return err
 	}
+	if err := n.lend(); err != nil {
+		return err
+	}
 	n.follower.Start(ctx)
 	go n.register.Run(ctx)
 	go n.rates.Run(ctx)
 	go n.relay().Run(ctx)
 	go n.server.Refresh(ctx)
 	go n.supervisor().Run(ctx)
-	go n.accept(callers)
+	go n.acceptEach(callers, func(conn net.Conn) { n.server.Serve(platform.NewCallerConn(conn)) })
 	return n.wait(ctx, callers)
 }
 
@@ -151,21 +156,6 @@
 	})
 }
 
-func (n *Node) accept(listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			n.config.Log.Warn("connection not accepted", "error", err)
-			time.Sleep(leavePoll)
-			continue
-		}
-		go n.server.Serve(platform.NewCallerConn(conn))
-	}
-}
-
 // wait handles signals until the process has to end.
 func (n *Node) wait(ctx context.Context, callers net.Listener) error {
 	signals := make(chan os.Signal, 4)
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -29,7 +29,7 @@
 		{"Name":"r1","Host":"revise","Type":"primary","TimeoutMs":800,"TargetLatencyMs":200,"Priority":1,"Service":"orders-a"},
 		{"Name":"r2","Host":"browse","Type":"bounded","TimeoutMs":800,"TargetLatencyMs":200,"Priority":2,"Service":"orders-a","MaxStalenessMs":1500},
 		{"Name":"r3","Host":"quote","Type":"read_your_writes","TimeoutMs":800,"TargetLatencyMs":200,"Priority":2,"Service":"orders-a","MaxStalenessMs":2500}],
-		"Services":[{"Name":"orders-a","MaxConns":48,"SyncReplicas":1}],"Limits":{"TxIdleMs":3000},
+		"Services":[{"Name":"orders-a","MaxConns":%d,"SyncReplicas":1}],"Limits":{"TxIdleMs":3000},
 		"Tenants":[{"Name":"builders","ApiKeys":[%s],"RatePerS":5000,"Burst":5000}]}`
 )
 
@@ -42,17 +42,27 @@
 	cancels []context.CancelFunc
 	stop    chan struct{}
 	pulled  sync.WaitGroup
+	// connections is how many connections an instance takes from all nodes together.
+	connections int
 }
 
+// usualConnections suffices for connections of each node's own.
+const usualConnections = 48
+
 func newSite(t *testing.T, vms int) *site {
 	t.Helper()
-	return newBusySite(t, vms, 0)
+	return openSite(t, vms, usualConnections, 0)
 }
 
 // newBusySite returns a site whose statements occupy one of three slots of an instance for a time.
 func newBusySite(t *testing.T, vms int, service time.Duration) *site {
 	t.Helper()
-	s := &site{t: t, rows: stand.NewRows(), stop: make(chan struct{})}
+	return openSite(t, vms, usualConnections, service)
+}
+
+func openSite(t *testing.T, vms, connections int, service time.Duration) *site {
+	t.Helper()
+	s := &site{t: t, rows: stand.NewRows(), stop: make(chan struct{}), connections: connections}
 	var instances []model.Instance
 	for i, name := range []string{"i-1", "i-2", "i-3"} {
 		role := model.RoleReplica
@@ -94,7 +104,7 @@
 }
 
 func (s *site) operate(version int, keys string) {
-	s.rows.Put(platform.TableSettings, platform.KeySettings, fmt.Appendf(nil, settings, version, keys))
+	s.rows.Put(platform.TableSettings, platform.KeySettings, fmt.Appendf(nil, settings, version, s.connections, keys))
 }
 
 // announce registers an instance as it would itself.
--- /dev/null
+++ b/remote/remote_test.go
@@ -0,0 +1,264 @@
+package remote
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/conns"
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/platform"
+	"github.com/crocusshore/crocusshore/retry"
+	"github.com/crocusshore/crocusshore/stand"
+)
+
+const teamName = "builders"
+
+// host is a VM that holds connections.
+type host struct {
+	cluster *stand.Cluster
+	pool    *conns.Pool
+	address netip.AddrPort
+
+	mu       sync.Mutex
+	instance model.Instance
+	leased   bool
+	using    int
+	failures []error
+}
+
+func (h *host) Instance(name model.InstanceName) (model.Instance, bool) {
+	return h.instance, name == h.instance.Name
+}
+
+func (h *host) Use(time.Time, model.Instance, model.Term) (func(), bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.leased {
+		return nil, false
+	}
+	h.using++
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.using--
+	}, true
+}
+
+func (h *host) Answered(time.Time, model.Instance, model.Term, model.Reply) {}
+
+func (h *host) Failed(_ model.InstanceName, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failures = append(h.failures, err)
+}
+
+func (h *host) setLeased(leased bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leased = leased
+}
+
+// newHost returns a VM with one primary that takes budget connections, and a client's way to it.
+func newHost(t *testing.T, budget int) (*host, *Source) {
+	t.Helper()
+	instance := model.Instance{Name: "i-1", Group: "orders", Role: model.RolePrimary, Slots: 3}
+	replica := model.Instance{Name: "i-2", Group: "orders", Role: model.RoleReplica, Slots: 3}
+	h := &host{instance: instance, leased: true, cluster: stand.NewCluster(stand.ClusterConfig{Group: "orders", Instances: []model.Instance{instance, replica}})}
+	pulling, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go func() {
+		for retry.Sleep(pulling, time.Millisecond) {
+			h.cluster.Pull(time.Now())
+		}
+	}()
+	h.pool = conns.New(conns.Config{Dialer: h.cluster, Phrases: platform.Phrases{}, Budget: func(model.Instance) int { return budget }})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	h.address = netip.MustParseAddrPort(listener.Addr().String())
+	server := NewServer(ServerConfig{Pool: h.pool, Host: h, Log: log.New(io.Discard)})
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go server.Serve(conn)
+		}
+	}()
+	t.Cleanup(func() { _ = listener.Close() })
+	return h, newSource(h.address)
+}
+
+func newSource(homes ...netip.AddrPort) *Source {
+	return NewSource(SourceConfig{Client: NewClient(), Homes: func(model.InstanceName, model.TeamName) []Home {
+		var found []Home
+		for _, address := range homes {
+			found = append(found, Home{Address: address})
+		}
+		return found
+	}})
+}
+
+func get(t *testing.T, s *Source, wait time.Duration) model.Connection {
+	t.Helper()
+	now := clock.Now()
+	c, err := s.Get(now, conns.Request{Instance: model.Instance{Name: "i-1"}, Team: teamName, Deadline: now.Add(wait), Term: 1})
+	require.NoError(t, err)
+	return c
+}
+
+// requireIs tells apart marked errors, which the standard library's errors.Is does not see.
+func requireIs(t *testing.T, err, target error, why ...any) {
+	t.Helper()
+	require.True(t, errors.Is(err, target), "%v %v", err, why)
+}
+
+func requireIsNot(t *testing.T, err, target error, why ...any) {
+	t.Helper()
+	require.False(t, errors.Is(err, target), "%v %v", err, why)
+}
+
+func soon() time.Time { return clock.Now().Add(time.Second) }
+
+func TestStatementsRunOnTheConnectionsOfAnotherVM(t *testing.T) {
+	_, source := newHost(t, 1)
+	c := get(t, source, time.Second)
+	reply, err := c.Run(soon(), map[string]string{"zone": "a"}, model.Query{ID: "q1", Text: "WRITE item data"})
+	require.NoError(t, err)
+	require.Empty(t, reply.Fault)
+	require.NotEmpty(t, reply.Proof)
+	prepared := model.Prepared{Shape: "shape"}
+	reply, err = c.Execute(soon(), map[string]string{"zone": "a"}, prepared, model.Query{ID: "q2"}, "item")
+	require.NoError(t, err)
+	require.Equal(t, []string{"data"}, reply.Rows)
+	state, err := c.Status(soon())
+	require.NoError(t, err)
+	require.Equal(t, model.RolePrimary, state.Role)
+	source.Put(clock.Now(), c)
+}
+
+func TestTransactionKeepsItsConnection(t *testing.T) {
+	h, source := newHost(t, 1)
+	c := get(t, source, time.Second)
+	reply, err := c.Run(soon(), nil, model.Query{ID: "b", Text: "BEGIN"})
+	require.NoError(t, err)
+	require.Equal(t, model.TxOpen, reply.State)
+	other := get(t, source, 20*time.Millisecond)
+	_, err = other.Run(soon(), nil, model.Query{ID: "q", Text: "READ item"})
+	requireIs(t, err, conns.ErrBusy)
+	requireIs(t, err, model.ErrNotSent)
+	reply, err = c.Run(soon(), nil, model.Query{ID: "w", Text: "WRITE item data"})
+	require.NoError(t, err)
+	require.Equal(t, model.TxOpen, reply.State)
+	h.setLeased(false)
+	_, err = c.Run(soon(), nil, model.Query{ID: "c", Text: "COMMIT"})
+	requireIs(t, err, ErrLease, "the VM with the connection judges the lease itself")
+	h.setLeased(true)
+	reply, err = c.Run(soon(), nil, model.Query{ID: "r", Text: "ROLLBACK"})
+	require.NoError(t, err)
+	require.Equal(t, model.TxNone, reply.State)
+	reply, err = other.Run(soon(), nil, model.Query{ID: "q", Text: "READ item"})
+	require.NoError(t, err, "the connection is free again")
+	require.NotContains(t, reply.Rows, "data")
+	require.Zero(t, h.using)
+}
+
+func TestTransactionOfAVMThatEndsIsRolledBack(t *testing.T) {
+	h, source := newHost(t, 1)
+	c := get(t, source, time.Second)
+	_, err := c.Run(soon(), nil, model.Query{ID: "b", Text: "BEGIN"})
+	require.NoError(t, err)
+	_, err = c.Run(soon(), nil, model.Query{ID: "w", Text: "WRITE item data"})
+	require.NoError(t, err)
+	c.Break()
+	source.Put(clock.Now(), c)
+	require.Eventually(t, func() bool { used, _ := h.pool.InUse("i-1"); return used == 0 }, time.Second, time.Millisecond)
+	reply, err := get(t, source, time.Second).Run(soon(), nil, model.Query{ID: "q", Text: "READ item"})
+	require.NoError(t, err)
+	require.NotContains(t, reply.Rows, "data")
+}
+
+func TestFailuresTellWhetherTheStatementWasSent(t *testing.T) {
+	h, source := newHost(t, 1)
+	h.setLeased(false)
+	_, err := get(t, source, time.Second).Run(soon(), nil, model.Query{ID: "w", Text: "WRITE item data"})
+	requireIs(t, err, model.ErrNotSent)
+	requireIsNot(t, err, model.ErrNoAnswer)
+	h.setLeased(true)
+	h.cluster.SetFaults("i-1", stand.DatabaseFaults{LoseAnswers: true})
+	_, err = get(t, source, time.Second).Run(soon(), nil, model.Query{ID: "w", Text: "WRITE item data"})
+	requireIs(t, err, model.ErrNoAnswer)
+	requireIsNot(t, err, model.ErrNotSent)
+	requireIsNot(t, err, ErrHome, "the other VM did answer")
+	h.cluster.SetFaults("i-1", stand.DatabaseFaults{Down: true})
+	_, err = get(t, source, time.Second).Run(soon(), nil, model.Query{ID: "w", Text: "WRITE item data"})
+	requireIs(t, err, model.ErrNotSent, "no connection was opened")
+	requireIsNot(t, err, conns.ErrBusy, "which tells something of the instance")
+	now := clock.Now()
+	unknown, err := source.Get(now, conns.Request{Instance: model.Instance{Name: "i-9"}, Deadline: now.Add(time.Second)})
+	require.NoError(t, err)
+	_, err = unknown.Run(soon(), nil, model.Query{ID: "w", Text: "WRITE item data"})
+	requireIs(t, err, model.ErrNotSent)
+}
+
+func TestVMThatDoesNotAnswerIsPassedOver(t *testing.T) {
+	h, _ := newHost(t, 2)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	source := newSource(netip.MustParseAddrPort(silent.Addr().String()), h.address)
+	c := get(t, source, time.Second)
+	_, err = c.Run(clock.Now().Add(50*time.Millisecond), nil, model.Query{ID: "w", Text: "WRITE item data"})
+	requireIs(t, err, model.ErrNoAnswer, "it may have passed the statement on")
+	requireIs(t, err, ErrHome)
+	require.True(t, c.Broken())
+	source.Put(clock.Now(), c)
+	_, err = get(t, source, time.Second).Run(soon(), nil, model.Query{ID: "w2", Text: "WRITE item data"})
+	require.NoError(t, err, "the next home serves")
+}
+
+func TestNoHomeInReachSendsNothing(t *testing.T) {
+	source := newSource(netip.MustParseAddrPort("127.0.0.1:1"))
+	now := clock.Now()
+	_, err := source.Get(now, conns.Request{Instance: model.Instance{Name: "i-1"}, Deadline: now.Add(time.Second)})
+	requireIs(t, err, conns.ErrBusy)
+}
+
+func TestStreamThatTheHomeClosedIsNotUsed(t *testing.T) {
+	h, source := newHost(t, 1)
+	c := get(t, source, time.Second)
+	_, err := c.Run(soon(), nil, model.Query{ID: "q", Text: "READ item"})
+	require.NoError(t, err)
+	source.Put(clock.Now(), c)
+	idle := source.config.Client.idle[h.address]
+	require.Len(t, idle, 1)
+	require.NoError(t, idle[0].conn.Close())
+	_, err = get(t, source, time.Second).Run(soon(), nil, model.Query{ID: "w", Text: "WRITE item data"})
+	require.NoError(t, err)
+}
+
+func TestGarbageEndsAStream(t *testing.T) {
+	h, source := newHost(t, 1)
+	conn, err := net.Dial("tcp", h.address.String())
+	require.NoError(t, err)
+	_, err = conn.Write([]byte(strings.Repeat("GET / HTTP/1.1\r\n", 20)))
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err = conn.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.False(t, errors.Is(err, os.ErrDeadlineExceeded), "the stream is closed, not ignored")
+	_, err = get(t, source, time.Second).Run(soon(), nil, model.Query{ID: "q", Text: "READ item"})
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/remote/server.go
@@ -0,0 +1,166 @@
+package remote
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/conns"
+	"github.com/crocusshore/crocusshore/model"
+)
+
+type (
+	// Host is the VM whose connections are used.
+	Host interface {
+		// Instance returns an instance that the VM knows.
+		Instance(name model.InstanceName) (model.Instance, bool)
+		// Use tells whether an instance may be used as the primary of a term now; if so, done ends the use.
+		Use(now time.Time, instance model.Instance, term model.Term) (done func(), ok bool)
+		// Answered records the answer of an instance to a statement sent at an instant.
+		Answered(sentAt time.Time, instance model.Instance, term model.Term, reply model.Reply)
+		// Failed records an instance that could not be reached or did not answer.
+		Failed(instance model.InstanceName, err error)
+	}
+
+	// ServerConfig names what a server works with.
+	ServerConfig struct {
+		Pool *conns.Pool
+		Host Host
+		Log  *log.Logger
+	}
+
+	// Server runs steps of other VMs on the connections of this one.
+	Server struct {
+		config ServerConfig
+	}
+
+	// session is what one stream holds.
+	session struct {
+		*Server
+		// held is the connection with the open transaction of the stream.
+		held *conns.Conn
+	}
+)
+
+// NewServer returns a server.
+func NewServer(config ServerConfig) *Server { return &Server{config: config} }
+
+// Serve answers one stream until it ends; a transaction that is open then is rolled back.
+func (s *Server) Serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	stream, err := newStream(conn)
+	if err != nil {
+		s.config.Log.Warn("stream of a VM not served", "peer", conn.RemoteAddr(), "error", err)
+		return
+	}
+	one := &session{Server: s}
+	defer one.end()
+	for {
+		var r Request
+		if err := stream.dec.Decode(&r); err != nil {
+			if !errors.Is(err, io.EOF) {
+				s.config.Log.Debug("stream of a VM ended", "peer", conn.RemoteAddr(), "error", err)
+			}
+			return
+		}
+		if err := stream.send(one.step(clock.Now(), r)); err != nil {
+			s.config.Log.Debug("answer to a VM not delivered", "peer", conn.RemoteAddr(), "id", r.Query.ID, "error", err)
+			return
+		}
+	}
+}
+
+// end closes what the stream leaves open.
+func (s *session) end() {
+	if s.held != nil {
+		s.held.Break()
+		s.config.Pool.Put(clock.Now(), s.held)
+	}
+}
+
+func (s *session) step(now time.Time, r Request) Answer {
+	instance, known := s.config.Host.Instance(r.Instance)
+	if !known {
+		return Answer{Failure: FailureUnknown, Detail: "the instance is not known to the VM with the connection"}
+	}
+	conn, err := s.connection(now, instance, r)
+	if err != nil {
+		s.config.Host.Failed(instance.Name, err)
+		return notSent(err)
+	}
+	answer := s.run(now, conn, instance, r)
+	if !conn.Broken() && s.staysOpen(answer) {
+		s.held = conn
+		return answer
+	}
+	s.held = nil
+	s.config.Pool.Put(clock.Now(), conn)
+	return answer
+}
+
+// staysOpen tells whether a transaction is open after a step; a step that sent nothing changes nothing.
+func (s *session) staysOpen(answer Answer) bool {
+	if answer.Failure != "" {
+		return s.held != nil
+	}
+	return answer.Reply.State == model.TxOpen || answer.Reply.State == model.TxFailed
+}
+
+// connection returns the connection of the open transaction, or one of the pool.
+func (s *session) connection(now time.Time, instance model.Instance, r Request) (*conns.Conn, error) {
+	if s.held != nil {
+		return s.held, nil
+	}
+	return s.config.Pool.Get(now, conns.Request{
+		Instance: instance, Team: r.Team, Values: r.Values, Class: r.Class, Deadline: now.Add(r.Wait), AnyTeam: r.Status,
+	})
+}
+
+func notSent(err error) Answer {
+	var refused *model.LinkError
+	switch {
+	case errors.Is(err, conns.ErrBusy):
+		return Answer{Failure: FailureBusy, Detail: err.Error()}
+	case errors.As(err, &refused):
+		return Answer{Failure: FailureRefused, Fault: refused.Fault, Detail: refused.Detail}
+	default:
+		return Answer{Failure: FailureUnreachable, Detail: err.Error()}
+	}
+}
+
+func (s *session) run(now time.Time, conn *conns.Conn, instance model.Instance, r Request) Answer {
+	deadline := now.Add(r.Limit)
+	if r.Status {
+		state, err := conn.Status(deadline)
+		if err != nil {
+			return notSent(err)
+		}
+		return Answer{State: state}
+	}
+	sentAt := clock.Now()
+	if r.Term > 0 {
+		done, ok := s.config.Host.Use(sentAt, instance, r.Term)
+		if !ok {
+			return Answer{Failure: FailureLease}
+		}
+		defer done()
+	}
+	reply, err := execute(conn, deadline, r)
+	if err != nil {
+		s.config.Host.Failed(instance.Name, err)
+		return Answer{Failure: FailureNoAnswer, Detail: err.Error()}
+	}
+	s.config.Host.Answered(sentAt, instance, r.Term, reply)
+	return Answer{Reply: reply}
+}
+
+func execute(conn *conns.Conn, deadline time.Time, r Request) (model.Reply, error) {
+	if r.Prepared != nil {
+		return conn.Execute(deadline, r.Values, *r.Prepared, r.Query, r.Arguments)
+	}
+	return conn.Run(deadline, r.Values, r.Query)
+}
--- /dev/null
+++ b/remote/stream.go
@@ -0,0 +1,52 @@
+package remote
+
+import (
+	"bufio"
+	"encoding/gob"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocusshore/crocusshore/sock"
+)
+
+// keepAlive ends streams to VMs that went dark, so that the connections which they hold are not lost for long.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
+
+// stream carries requests and answers in turn.
+type stream struct {
+	conn net.Conn
+	raw  syscall.RawConn
+	in   *bufio.Reader
+	out  *bufio.Writer
+	dec  *gob.Decoder
+	enc  *gob.Encoder
+}
+
+func newStream(conn net.Conn) (*stream, error) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil, errors.New("the connection is not TCP")
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	if err := tcp.SetKeepAliveConfig(keepAlive); err != nil {
+		return nil, err
+	}
+	s := &stream{conn: conn, raw: raw, in: bufio.NewReader(conn), out: bufio.NewWriter(conn)}
+	s.dec, s.enc = gob.NewDecoder(s.in), gob.NewEncoder(s.out)
+	return s, nil
+}
+
+func (s *stream) send(message any) error {
+	if err := s.enc.Encode(message); err != nil {
+		return err
+	}
+	return s.out.Flush()
+}
+
+func (s *stream) idle() bool { return s.in.Buffered() == 0 && sock.Idle(s.raw) }
--- /dev/null
+++ b/serve/host.go
@@ -0,0 +1,39 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/sample"
+)
+
+// Instance returns an instance that this VM knows.
+func (s *Server) Instance(name model.InstanceName) (model.Instance, bool) {
+	instance, known := s.config.World.State().Instances[name]
+	return instance, known
+}
+
+// Use tells whether this VM may use an instance as the primary of a term for a statement of another VM; if so, a switch of the
+// primary waits until done is called.
+func (s *Server) Use(now time.Time, instance model.Instance, term model.Term) (done func(), ok bool) {
+	group := instance.Group
+	s.inflight.add(group, 1)
+	lease, leased := s.config.World.Lease(now, group)
+	if !leased || lease.Term != term || lease.Primary.Name != instance.Name {
+		s.inflight.add(group, -1)
+		return nil, false
+	}
+	return func() { s.inflight.add(group, -1) }, true
+}
+
+// Answered records the answer of an instance to a statement of another VM.
+func (s *Server) Answered(sentAt time.Time, instance model.Instance, term model.Term, reply model.Reply) {
+	s.config.Track.Alive(clock.Now(), instance.Name)
+	if term > 0 && reply.Mark.Term == term {
+		s.config.Samples.Add(instance.Group, sample.Sample{At: sentAt, Mark: reply.Mark})
+	}
+}
+
+// Failed records an instance that did not serve a statement of another VM.
+func (s *Server) Failed(instance model.InstanceName, err error) { s.failed(instance, err) }
--- a/serve/pick.go
+++ b/serve/pick.go
@@ -58,10 +58,14 @@
 }
 
 // get takes a connection of the team to the chosen instance.
-func (c *caller) get(now time.Time, op operation, to choice) (*conns.Conn, error) {
-	return c.server.config.Pool.Get(now, conns.Request{
+func (c *caller) get(now time.Time, op operation, to choice) (model.Connection, error) {
+	request := conns.Request{
 		Instance: to.instance, Team: op.team, Values: c.session.Values, Class: class(op.route.Priority), Deadline: now.Add(op.patience()),
-	})
+	}
+	if to.primary {
+		request.Term = to.lease.Term
+	}
+	return c.server.config.Source.Get(now, request)
 }
 
 // patience is how long the operation may wait for an instance, a connection or a primary before it is refused.
--- a/serve/read.go
+++ b/serve/read.go
@@ -8,6 +8,7 @@
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/remote"
 	"github.com/crocusshore/crocusshore/sample"
 	"github.com/crocusshore/crocusshore/sess"
 )
@@ -88,7 +89,7 @@
 		c.server.failed(to.instance.Name, err)
 		return attempt{err: err}
 	}
-	defer func() { c.server.config.Pool.Put(clock.Now(), conn) }()
+	defer func() { c.server.config.Source.Put(clock.Now(), conn) }()
 	sentAt := clock.Now()
 	if to.primary && !c.server.config.World.Holds(sentAt, to.lease) {
 		return attempt{err: errLease}
@@ -96,7 +97,7 @@
 	reply, err := c.send(conn, c.attemptDeadline(sentAt, deadline), s, to.since)
 	if err != nil {
 		c.server.failed(to.instance.Name, err)
-		return attempt{err: err, sent: true}
+		return attempt{err: err, sent: !errors.Is(err, model.ErrNotSent)}
 	}
 	c.server.answered(sentAt, op, to, reply)
 	return attempt{reply: reply, sent: true}
@@ -122,9 +123,10 @@
 	}
 }
 
-// failed records an instance that could not be reached or did not answer; a full pool says nothing of the instance.
+// failed records an instance that could not be reached or did not answer; a full pool says nothing of the instance, nor does a VM
+// that holds the connection and is silent.
 func (s *Server) failed(instance model.InstanceName, err error) {
-	if errors.Is(err, conns.ErrBusy) || errors.Is(err, errLease) {
+	if errors.IsAny(err, conns.ErrBusy, errLease, remote.ErrLease, remote.ErrHome) {
 		return
 	}
 	var refused *model.LinkError
--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -96,18 +96,15 @@
 // ask asks an instance for its state on whatever connection is free.
 func (s *Server) ask(instance model.Instance) (state model.InstanceState, sentAt time.Time, err error) {
 	now := clock.Now()
-	conn, err := s.config.Pool.Get(now, conns.Request{
+	conn, err := s.config.Source.Get(now, conns.Request{
 		Instance: instance, Team: model.ProxyTeam, Class: tree.ClassReservation, Deadline: now.Add(sampleTimeout), AnyTeam: true,
 	})
 	if err != nil {
 		return state, now, err
 	}
-	defer func() { s.config.Pool.Put(clock.Now(), conn) }()
+	defer func() { s.config.Source.Put(clock.Now(), conn) }()
 	sentAt = clock.Now()
-	state, err = conn.Link().Status(clock.Wall(sentAt.Add(sampleTimeout)))
-	if err != nil && !isRefusal(err) {
-		conn.Break()
-	}
+	state, err = conn.Status(sentAt.Add(sampleTimeout))
 	return state, sentAt, err
 }
 
--- a/serve/server.go
+++ b/serve/server.go
@@ -25,11 +25,21 @@
 		Admit(now time.Time, team policy.Team) share.Verdict
 	}
 
+	// Source gives connections to instances.
+	Source interface {
+		// Get returns a connection; errors leave nothing sent.
+		Get(now time.Time, request conns.Request) (model.Connection, error)
+		// Put returns a connection; a broken one is closed.
+		Put(now time.Time, connection model.Connection)
+	}
+
 	// Config names what a server works with.
 	Config struct {
-		Domain  model.Domain
-		World   *world.World
+		Domain model.Domain
+		World  *world.World
+		// Pool holds the connections of this VM, and Source gives those of others too.
 		Pool    *conns.Pool
+		Source  Source
 		Samples *sample.Samples
 		Track   *place.Track
 		Limiter Limiter
--- a/serve/statement.go
+++ b/serve/statement.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
 )
 
@@ -29,7 +28,7 @@
 }
 
 // send runs the statement on a connection that it brings to the session's values.
-func (c *caller) send(conn *conns.Conn, deadline time.Time, s statement, since model.Mark) (model.Reply, error) {
+func (c *caller) send(conn model.Connection, deadline time.Time, s statement, since model.Mark) (model.Reply, error) {
 	query := model.Query{ID: s.command.ID, Text: s.command.Text, Since: since}
 	if s.prepared != nil {
 		return conn.Execute(deadline, c.session.Values, *s.prepared, query, s.command.Arguments)
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -6,7 +6,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocusshore/crocusshore/clock"
-	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/sess"
 )
@@ -21,7 +20,7 @@
 	readOnly bool
 	wrote    bool
 	to       choice
-	conn     *conns.Conn
+	conn     model.Connection
 }
 
 // begin opens a transaction without an instance yet.
@@ -124,7 +123,7 @@
 	}
 	sentAt := clock.Now()
 	if to.primary && !c.server.config.World.Holds(sentAt, to.lease) {
-		c.server.config.Pool.Put(sentAt, conn)
+		c.server.config.Source.Put(sentAt, conn)
 		return attempt{err: errLease}
 	}
 	begin := model.Query{ID: c.tx.begin, Text: c.server.config.Phrases.Begin(c.tx.readOnly), Since: to.since}
@@ -137,7 +136,7 @@
 		if err != nil {
 			c.server.failed(to.instance.Name, err)
 		}
-		c.server.config.Pool.Put(clock.Now(), conn)
+		c.server.config.Source.Put(clock.Now(), conn)
 		return attempt{reply: reply, err: err}
 	}
 	c.tx.conn = conn
@@ -176,7 +175,7 @@
 		c.tx.conn.Break()
 		return reply
 	}
-	c.server.config.Pool.Put(clock.Now(), c.tx.conn)
+	c.server.config.Source.Put(clock.Now(), c.tx.conn)
 	c.tx.conn = nil
 	return reply
 }
@@ -220,5 +219,5 @@
 			conn.Break()
 		}
 	}
-	c.server.config.Pool.Put(clock.Now(), conn)
+	c.server.config.Source.Put(clock.Now(), conn)
 }
--- a/serve/write.go
+++ b/serve/write.go
@@ -6,8 +6,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocusshore/crocusshore/clock"
-	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/remote"
 	"github.com/crocusshore/crocusshore/sess"
 )
 
@@ -60,16 +60,19 @@
 		c.server.failed(to.instance.Name, err)
 		return c.server.refuse(model.FaultBusy, "the primary takes no connection", comeBack)
 	}
-	defer func() { c.server.config.Pool.Put(clock.Now(), conn) }()
+	defer func() { c.server.config.Source.Put(clock.Now(), conn) }()
 	reply, err := c.commitOn(conn, op, s, to, step, deadline)
-	if errors.Is(err, errLease) {
+	switch {
+	case errors.IsAny(err, errLease, remote.ErrLease):
 		return c.server.refuse(model.FaultBusy, "the primary is being replaced", comeBack)
+	case err != nil:
+		return c.server.refuse(model.FaultBusy, "the primary takes no connection", comeBack)
 	}
 	return reply
 }
 
-// commitOn sends a statement that may commit; errLease means that nothing was sent.
-func (c *caller) commitOn(conn *conns.Conn, op operation, s statement, to choice, step sess.Step, deadline time.Time) (model.Reply, error) {
+// commitOn sends a statement that may commit; an error means that nothing was sent.
+func (c *caller) commitOn(conn model.Connection, op operation, s statement, to choice, step sess.Step, deadline time.Time) (model.Reply, error) {
 	group := op.route.Group
 	c.server.inflight.add(group, 1)
 	defer c.server.inflight.add(group, -1)
@@ -81,7 +84,10 @@
 	now := clock.Now()
 	if err != nil {
 		c.server.failed(to.instance.Name, err)
-		if step.Kind == sess.StepWrite || step.Wrote {
+		if errors.Is(err, model.ErrNotSent) {
+			return model.Reply{}, err
+		}
+		if (step.Kind == sess.StepWrite || step.Wrote) && !errors.Is(err, remote.ErrHome) {
 			c.server.acked.unanswered(now, sentAt, group)
 		}
 		return model.Reply{Fault: sess.Unanswered(step, !now.Before(deadline)), Detail: "the primary did not answer"}, nil
--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -47,6 +47,8 @@
 		generation int
 		// running counts the statements that occupy slots.
 		running int
+		// open counts the connections, and mostOpen is how many there ever were at once.
+		open, mostOpen int
 	}
 
 	// DatabaseFaults is how an instance misbehaves.
@@ -100,6 +102,13 @@
 	return append([]string(nil), c.breaches...)
 }
 
+// MostConnections returns how many connections an instance ever had at once.
+func (c *Cluster) MostConnections(name model.InstanceName) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.databases[name].mostOpen
+}
+
 // Primary returns the primary of the highest term; the name is empty while none leads.
 func (c *Cluster) Primary() (model.InstanceName, model.Term) {
 	c.mu.Lock()
@@ -264,5 +273,9 @@
 	if faults.Down {
 		return nil, errors.New("connection refused")
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d.open++
+	d.mostOpen = max(d.mostOpen, d.open)
 	return &clusterLink{cluster: c, database: d, team: team, generation: generation}, nil
 }
--- a/stand/clusterlink.go
+++ b/stand/clusterlink.go
@@ -232,6 +232,9 @@
 func (l *clusterLink) Close() {
 	l.cluster.mu.Lock()
 	defer l.cluster.mu.Unlock()
+	if !l.closed {
+		l.database.open--
+	}
 	l.closed, l.writes = true, nil
 }
 
--- a/world/state.go
+++ b/world/state.go
@@ -16,7 +16,7 @@
 		Domain model.Domain
 		// Peers is where the VM answers other VMs.
 		Peers netip.AddrPort
-		// Gossip is where the VM takes datagrams of other VMs.
+		// Gossip is where the VM takes datagrams of other VMs and, over TCP, statements for its connections.
 		Gossip  netip.AddrPort
 		Boot    model.BootID
 		Version int64 `json:"-"`
