Homes hold the connections on every fleet, and a VM that stops hands its work on with nothing sent

Ruled out: fewer or more connections for each VM (cap), another order of eviction (the values match already where they can). Change: one mechanism for every fleet; the part that each VM held for itself is gone. A VM that gets SIGTERM answers new work of others with 'leaving', nothing sent, and they go on with the next home at once; it ends after the transactions that others have open on it.

--- a/conns/budget.go
+++ b/conns/budget.go
@@ -5,16 +5,11 @@
 	spareConnections = 7
 	// farWeight is what a VM of another failure domain counts at a replica, which VMs of its own failure domain prefer.
 	farWeight = 0.3
-	// leastBudget lets each VM reach each instance.
+	// leastBudget lets each VM reach each instance while it knows no home.
 	leastBudget = 1
 )
 
-// Budget returns how many connections a VM may hold to an instance that takes most connections from all VMs together.
-func Budget(most, near, far int, local, primary bool) int {
-	return max(leastBudget, int(Part(most, near, far, local, primary)))
-}
-
-// Part returns the part of a VM in the connections that an instance takes.
+// Part returns the part of a VM in the connections that an instance takes, if all VMs of a failure domain held the same.
 //
 // Every VM of the instance's failure domain counts once, and the others count less unless the instance is the primary.
 func Part(most, near, far int, local, primary bool) float64 {
--- a/conns/homes.go
+++ b/conns/homes.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// homesOfInstance is how many VMs of a failure domain hold its connections to an instance, where a VM's own part is too small.
+	// homesOfInstance is how many VMs of a failure domain hold its connections to an instance, so that one may fail.
 	homesOfInstance = 2
 	// backupsOfInstance is how many VMs step in for homes that do not answer.
 	backupsOfInstance = 2
@@ -15,15 +15,8 @@
 	backupBudget = 2
 	// MostHomes is how many VMs of a failure domain hold connections to an instance for others, backups included.
 	MostHomes = homesOfInstance + backupsOfInstance
-	// leastDirect is the part of a VM from which on each VM uses connections of its own.
-	leastDirect = 2
 )
 
-// Shared tells whether VMs use the connections of a few homes, since an instance takes too few from all VMs together.
-func Shared(most, vms int) bool {
-	return (most-spareConnections)/max(vms, 1) < leastDirect
-}
-
 // Duty names the duty to hold connections to an instance for a failure domain; the first MostHomes VMs in its ranking have it.
 func Duty(instance model.InstanceName) string { return "home " + string(instance) }
 
--- a/node/budget.go
+++ b/node/budget.go
@@ -24,9 +24,6 @@
 	own, _ := n.ranks.Size(now, n.config.Settings.Domain)
 	local := instance.Domain == n.config.Settings.Domain
 	primary := s.Leads[instance.Group].Primary == instance.Name
-	if !conns.Shared(most, len(s.VMs)) {
-		return conns.Budget(most, near, far, local, primary)
-	}
 	rank := slices.IndexFunc(n.homes(now, instance.Name), func(vm world.VM) bool { return vm.Name == n.config.Settings.VM })
 	return conns.HomeBudget(conns.Part(most, near, far, local, primary), own, rank)
 }
--- a/node/homes.go
+++ b/node/homes.go
@@ -19,14 +19,8 @@
 	return ranked[:min(len(ranked), conns.MostHomes)]
 }
 
-// connectionHomes returns where the connections of a team to an instance are held, best first; it is empty where each VM holds
-// its own.
+// connectionHomes returns where the connections of a team to an instance are held, best first; it is empty while no VM is known.
 func (n *Node) connectionHomes(name model.InstanceName, team model.TeamName) []remote.Home {
-	s := n.world.State()
-	instance, known := s.Instances[name]
-	if !known || !conns.Shared(mostConnections(s, instance.Group), len(s.VMs)) {
-		return nil
-	}
 	homes := n.homes(clock.Now(), name)
 	found := make([]remote.Home, 0, len(homes))
 	for _, at := range conns.Prefer(len(homes), team) {
@@ -41,8 +35,7 @@
 	if err != nil {
 		return errors.WithHint(err, "is another process using the first port of the range?")
 	}
-	server := remote.NewServer(remote.ServerConfig{Pool: n.pool, Host: n.server, Log: n.config.Log})
-	go n.acceptEach(listener, func(conn net.Conn) { server.Serve(conn) })
+	go n.acceptEach(listener, n.lender.Serve)
 	return nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -70,6 +70,7 @@
 		ranks    *world.Ranks
 		rates    *peers.Rates
 		server   *serve.Server
+		lender   *remote.Server
 		follower *watch.Follower
 		register *peers.Register
 		stopping atomic.Bool
@@ -98,6 +99,7 @@
 		Phrases: platform.Phrases{}, Log: config.Log, Metrics: config.Scope, RetryDetail: platform.RetryDetail,
 		Reader: func() bool { return !n.follower.IsRelayed() },
 	})
+	n.lender = remote.NewServer(remote.ServerConfig{Pool: n.pool, Host: n.server, Log: config.Log})
 	n.follower = watch.New(watch.Config{
 		Open: config.OpenRows, World: n.world, Log: config.Log,
 		Settings: platform.TableSettings, Instances: platform.TableInstances, SettingsKey: platform.KeySettings,
@@ -185,9 +187,10 @@
 	grace := n.settings.Load().Grace
 	n.config.Log.Info("stop", "grace", grace, "sessions", n.server.Callers())
 	n.stopping.Store(true)
+	n.lender.Leave()
 	go n.server.Drain(ctx, now.Add(grace/2))
 	for clock.Now().Before(now.Add(grace - exitMargin)) {
-		if n.server.Callers() == 0 && clock.Now().Sub(now) >= rotationTime {
+		if n.server.Callers() == 0 && n.lender.Busy() == 0 && clock.Now().Sub(now) >= rotationTime {
 			break
 		}
 		time.Sleep(leavePoll)
--- a/remote/client.go
+++ b/remote/client.go
@@ -35,13 +35,16 @@
 	return &Client{idle: map[netip.AddrPort][]*stream{}, down: map[netip.AddrPort]time.Time{}}
 }
 
-// take returns a stream to a VM; an error leaves nothing sent.
-func (c *Client) take(now time.Time, home netip.AddrPort) (*stream, error) {
+// stream returns an idle or new stream to a VM; an error leaves nothing sent.
+func (c *Client) stream(now time.Time, home netip.AddrPort) (*stream, error) {
 	for {
 		s, err := c.pop(now, home)
-		if s == nil || err != nil {
+		if err != nil {
 			return nil, err
 		}
+		if s == nil {
+			return c.open(now, home)
+		}
 		if s.idle() {
 			return s, nil
 		}
@@ -49,7 +52,6 @@
 	}
 }
 
-// open returns a new stream to a VM.
 func (c *Client) open(now time.Time, home netip.AddrPort) (*stream, error) {
 	conn, err := net.DialTimeout("tcp", home.String(), dialTimeout)
 	if err != nil {
@@ -59,6 +61,7 @@
 	return newStream(conn)
 }
 
+// pop returns an idle stream, or nil where there is none.
 func (c *Client) pop(now time.Time, home netip.AddrPort) (*stream, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/remote/conn.go
+++ b/remote/conn.go
@@ -17,38 +17,88 @@
 // ErrLease reports that the VM with the connection may not use the primary now; it comes marked as model.ErrNotSent.
 var ErrLease = errors.New("the VM that holds the connection may not use the primary")
 
+// errLeaving reports that the VM with the connection stops.
+var errLeaving = errors.New("the VM that holds the connection is stopping")
+
 // Conn is a connection that another VM holds; it implements model.Connection.
 type Conn struct {
-	client  *Client
+	source  *Source
 	home    netip.AddrPort
 	stream  *stream
 	request conns.Request
-	broken  bool
+	// rest are the homes that are asked next, if this one takes no new work.
+	rest []Home
+	// own is set where it turned out to be a connection of this VM.
+	own    *conns.Conn
+	broken bool
 }
 
 // Run runs one query on the connection.
 func (c *Conn) Run(deadline time.Time, values map[string]string, q model.Query) (model.Reply, error) {
+	if c.own != nil {
+		return c.own.Run(deadline, values, q)
+	}
 	answer, err := c.step(deadline, Request{Values: values, Query: q})
+	if errors.Is(err, errLeaving) {
+		return c.next(deadline, err, func() (model.Reply, error) { return c.Run(deadline, values, q) })
+	}
 	return answer.Reply, err
 }
 
 // Execute runs one prepared statement on the connection.
 func (c *Conn) Execute(deadline time.Time, values map[string]string, p model.Prepared, q model.Query, arguments string) (model.Reply, error) {
+	if c.own != nil {
+		return c.own.Execute(deadline, values, p, q, arguments)
+	}
 	answer, err := c.step(deadline, Request{Values: values, Query: q, Prepared: &p, Arguments: arguments})
+	if errors.Is(err, errLeaving) {
+		return c.next(deadline, err, func() (model.Reply, error) { return c.Execute(deadline, values, p, q, arguments) })
+	}
 	return answer.Reply, err
 }
 
 // Status asks the instance for its state.
 func (c *Conn) Status(deadline time.Time) (model.InstanceState, error) {
+	if c.own != nil {
+		return c.own.Status(deadline)
+	}
 	answer, err := c.step(deadline, Request{Status: true})
 	return answer.State, err
 }
 
 // Broken tells whether the connection must not be used again.
-func (c *Conn) Broken() bool { return c.broken }
+func (c *Conn) Broken() bool { return c.broken || (c.own != nil && c.own.Broken()) }
 
 // Break marks the connection as one that must not be used again.
-func (c *Conn) Break() { c.broken = true }
+func (c *Conn) Break() {
+	c.broken = true
+	if c.own != nil {
+		c.own.Break()
+	}
+}
+
+// next goes on with the next home, after one that takes no new work.
+func (c *Conn) next(deadline time.Time, leaving error, run func() (model.Reply, error)) (model.Reply, error) {
+	now := clock.Now()
+	c.source.config.Client.markDown(now, c.home)
+	_ = c.stream.conn.Close()
+	request := c.request
+	if deadline.Before(request.Deadline) {
+		request.Deadline = deadline
+	}
+	connection, err := c.source.first(now, c.rest, request)
+	if err != nil {
+		c.broken = true
+		return model.Reply{}, errors.Mark(errors.CombineErrors(err, leaving), model.ErrNotSent)
+	}
+	switch found := connection.(type) {
+	case *conns.Conn:
+		c.own = found
+	case *Conn:
+		c.home, c.stream, c.rest = found.home, found.stream, found.rest
+	}
+	return run()
+}
 
 func (c *Conn) step(deadline time.Time, r Request) (Answer, error) {
 	now := clock.Now()
@@ -61,7 +111,7 @@
 	answer, err := c.exchange(deadline, r)
 	if err != nil {
 		c.broken = true
-		c.client.markDown(clock.Now(), c.home)
+		c.source.config.Client.markDown(clock.Now(), c.home)
 		return Answer{}, errors.Mark(errors.Mark(err, ErrHome), model.ErrNoAnswer)
 	}
 	return answer, c.failure(answer)
@@ -83,6 +133,8 @@
 	switch a.Failure {
 	case "":
 		return nil
+	case FailureLeaving:
+		return errors.Mark(errors.Mark(errors.Wrap(errLeaving, a.Detail), conns.ErrBusy), model.ErrNotSent)
 	case FailureBusy, FailureUnknown:
 		return errors.Mark(errors.Wrap(conns.ErrBusy, a.Detail), model.ErrNotSent)
 	case FailureLease:
--- a/remote/message.go
+++ b/remote/message.go
@@ -45,6 +45,8 @@
 	FailureBusy Failure = "Busy"
 	// FailureLease means that the VM may not use the primary of the term now; nothing was sent.
 	FailureLease Failure = "Lease"
+	// FailureLeaving means that the VM stops and takes no new work; nothing was sent.
+	FailureLeaving Failure = "Leaving"
 	// FailureUnknown means that the VM does not know the instance; nothing was sent.
 	FailureUnknown Failure = "Unknown"
 	// FailureRefused means that the instance refused a connection or a question; no statement was sent.
--- a/remote/remote_test.go
+++ b/remote/remote_test.go
@@ -30,6 +30,7 @@
 	cluster *stand.Cluster
 	pool    *conns.Pool
 	address netip.AddrPort
+	server  *Server
 
 	mu       sync.Mutex
 	instance model.Instance
@@ -98,6 +99,7 @@
 		}
 	}()
 	t.Cleanup(func() { _ = listener.Close() })
+	h.server = server
 	return h, newSource(h.address)
 }
 
@@ -262,3 +264,47 @@
 	_, err = get(t, source, time.Second).Run(soon(), nil, model.Query{ID: "q", Text: "READ item"})
 	require.NoError(t, err)
 }
+
+func TestVMThatStopsIsLeftForTheNextWithNothingSent(t *testing.T) {
+	first, _ := newHost(t, 1)
+	second, _ := newHost(t, 1)
+	source := newSource(first.address, second.address)
+	inside := get(t, source, time.Second)
+	_, err := inside.Run(soon(), nil, model.Query{ID: "b", Text: "BEGIN"})
+	require.NoError(t, err)
+	first.server.Leave()
+	require.Equal(t, 1, first.server.Busy())
+	c := get(t, source, time.Second)
+	_, err = c.Run(soon(), nil, model.Query{ID: "w", Text: "WRITE item data"})
+	require.NoError(t, err)
+	source.Put(clock.Now(), c)
+	require.Equal(t, 1, second.cluster.Count("w"))
+	require.Zero(t, first.cluster.Count("w"))
+	_, err = inside.Run(soon(), nil, model.Query{ID: "i", Text: "WRITE item inside"})
+	require.NoError(t, err, "an open transaction goes on")
+	_, err = inside.Run(soon(), nil, model.Query{ID: "c", Text: "COMMIT"})
+	require.NoError(t, err)
+	require.Zero(t, first.server.Busy())
+	second.server.Leave()
+	_, err = get(t, source, time.Second).Run(soon(), nil, model.Query{ID: "w3", Text: "WRITE item data"})
+	requireIs(t, err, model.ErrNotSent)
+	requireIs(t, err, conns.ErrBusy)
+}
+
+func TestVMThatIsNextItselfUsesItsOwnConnection(t *testing.T) {
+	first, _ := newHost(t, 1)
+	own, _ := newHost(t, 1)
+	source := NewSource(SourceConfig{Client: NewClient(), Pool: own.pool, Homes: func(model.InstanceName, model.TeamName) []Home {
+		return []Home{{Address: first.address}, {Self: true}}
+	}})
+	first.server.Leave()
+	now := clock.Now()
+	c, err := source.Get(now, conns.Request{Instance: own.instance, Team: teamName, Deadline: now.Add(time.Second)})
+	require.NoError(t, err)
+	_, err = c.Run(soon(), nil, model.Query{ID: "w", Text: "WRITE item data"})
+	require.NoError(t, err)
+	require.Equal(t, 1, own.cluster.Count("w"))
+	source.Put(clock.Now(), c)
+	used, _ := own.pool.InUse("i-1")
+	require.Zero(t, used)
+}
--- a/remote/server.go
+++ b/remote/server.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -35,7 +36,10 @@
 
 	// Server runs steps of other VMs on the connections of this one.
 	Server struct {
-		config ServerConfig
+		config  ServerConfig
+		leaving atomic.Bool
+		// busy counts the streams that hold a connection.
+		busy atomic.Int64
 	}
 
 	// session is what one stream holds.
@@ -49,6 +53,12 @@
 // NewServer returns a server.
 func NewServer(config ServerConfig) *Server { return &Server{config: config} }
 
+// Leave takes no new work, so that other VMs go on elsewhere; open transactions go on.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Busy returns how many connections other VMs are using.
+func (s *Server) Busy() int { return int(s.busy.Load()) }
+
 // Serve answers one stream until it ends; a transaction that is open then is rolled back.
 func (s *Server) Serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
@@ -79,10 +89,22 @@
 	if s.held != nil {
 		s.held.Break()
 		s.config.Pool.Put(clock.Now(), s.held)
+		s.busy.Add(-1)
 	}
 }
 
 func (s *session) step(now time.Time, r Request) Answer {
+	if s.held == nil {
+		s.busy.Add(1)
+	}
+	defer func() {
+		if s.held == nil {
+			s.busy.Add(-1)
+		}
+	}()
+	if s.held == nil && s.leaving.Load() {
+		return Answer{Failure: FailureLeaving, Detail: "the VM with the connection stops"}
+	}
 	instance, known := s.config.Host.Instance(r.Instance)
 	if !known {
 		return Answer{Failure: FailureUnknown, Detail: "the instance is not known to the VM with the connection"}
--- a/remote/source.go
+++ b/remote/source.go
@@ -42,17 +42,19 @@
 	if len(homes) == 0 {
 		return s.own(now, request)
 	}
+	return s.first(now, homes, request)
+}
+
+// first returns a connection of the first home that is in reach.
+func (s *Source) first(now time.Time, homes []Home, request conns.Request) (model.Connection, error) {
 	var last error
-	for _, home := range homes {
+	for i, home := range homes {
 		if home.Self {
 			return s.own(now, request)
 		}
-		stream, err := s.config.Client.take(now, home.Address)
-		if stream == nil && err == nil {
-			stream, err = s.config.Client.open(now, home.Address)
-		}
+		stream, err := s.config.Client.stream(now, home.Address)
 		if err == nil {
-			return &Conn{client: s.config.Client, home: home.Address, stream: stream, request: request}, nil
+			return &Conn{source: s, home: home.Address, stream: stream, request: request, rest: homes[i+1:]}, nil
 		}
 		last = err
 	}
@@ -73,10 +75,17 @@
 	case *conns.Conn:
 		s.config.Pool.Put(now, c)
 	case *Conn:
-		if c.broken {
-			_ = c.stream.conn.Close()
-			return
-		}
-		c.client.put(c.home, c.stream)
+		s.putBack(now, c)
+	}
+}
+
+func (s *Source) putBack(now time.Time, c *Conn) {
+	switch {
+	case c.own != nil:
+		s.config.Pool.Put(now, c.own)
+	case c.broken:
+		_ = c.stream.conn.Close()
+	default:
+		s.config.Client.put(c.home, c.stream)
 	}
 }
