The line of a statement names the VM that admitted it and the VM that held its connection

Cause: since other VMs admit operations and hold connections, a statement's line did not lead to the VM whose line tells more. Change: admitted-by and holder on each statement's line; the VM with the connection writes a line for each statement of another VM that it did not run, with its id and why; an admission without other VMs is told at level info.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -34,6 +34,9 @@
 // Matches tells whether the connection holds exactly these session values.
 func (c *Conn) Matches(values map[string]string) bool { return maps.Equal(c.values, values) }
 
+// Holder is empty, since this VM holds the connection.
+func (c *Conn) Holder() string { return "" }
+
 // Broken tells whether the connection must not be used again.
 func (c *Conn) Broken() bool { return c.broken }
 
--- a/model/connection.go
+++ b/model/connection.go
@@ -12,6 +12,8 @@
 	Execute(deadline time.Time, values map[string]string, p Prepared, q Query, arguments string) (Reply, error)
 	// Status asks the instance for its state.
 	Status(deadline time.Time) (InstanceState, error)
+	// Holder names the VM that holds the connection; it is empty for this VM.
+	Holder() string
 	// Broken tells whether the connection must not be used again.
 	Broken() bool
 	// Break marks the connection as one that must not be used again.
--- a/peers/rates.go
+++ b/peers/rates.go
@@ -99,13 +99,16 @@
 	vms, domains := r.config.Ranks.Size(now, r.config.Domain)
 	limits = share.Fallback(limits, domains, vms)
 	verdict := r.alone.Admit(now, limits, share.FirstToken(now, limits, 1))
-	r.config.Log.Debug("admission without the other VMs", "team", limits.Name, "admitted", verdict.Admitted, "part", verdict.Part)
+	verdict.By = r.config.Self
+	r.config.Log.Info("admission without the other VMs", "team", limits.Name, "admitted", verdict.Admitted, "part", verdict.Part)
 	return verdict
 }
 
 // admit decides for this failure domain.
 func (r *Rates) admit(now time.Time, limits policy.Team) share.Verdict {
-	return r.config.Limiter.Admit(now, limits, r.since(now, limits))
+	verdict := r.config.Limiter.Admit(now, limits, r.since(now, limits))
+	verdict.By = r.config.Self
+	return verdict
 }
 
 // since returns from when on a new bucket of a team fills: since the VMs last changed where this VM comes first for the team, and
--- a/remote/conn.go
+++ b/remote/conn.go
@@ -66,6 +66,14 @@
 	return answer.State, err
 }
 
+// Holder names the VM that holds the connection by its address.
+func (c *Conn) Holder() string {
+	if c.own != nil {
+		return c.own.Holder()
+	}
+	return c.home.Addr().String()
+}
+
 // Broken tells whether the connection must not be used again.
 func (c *Conn) Broken() bool { return c.broken || (c.own != nil && c.own.Broken()) }
 
--- a/remote/server.go
+++ b/remote/server.go
@@ -77,7 +77,12 @@
 			}
 			return
 		}
-		if err := stream.send(one.step(clock.Now(), r)); err != nil {
+		answer := one.step(clock.Now(), r)
+		if answer.Failure != "" {
+			s.config.Log.Info("statement of another VM not run", "peer", conn.RemoteAddr(), "id", r.Query.ID, "instance", r.Instance,
+				"team", r.Team, "term", r.Term, "failure", answer.Failure, "detail", answer.Detail)
+		}
+		if err := stream.send(answer); err != nil {
 			s.config.Log.Debug("answer to a VM not delivered", "peer", conn.RemoteAddr(), "id", r.Query.ID, "error", err)
 			return
 		}
--- a/serve/caller.go
+++ b/serve/caller.go
@@ -28,6 +28,8 @@
 	hello   model.Hello
 	session *sess.Session
 	tx      *transaction
+	// last is the connection that ran the last statement.
+	last model.Connection
 
 	inTransaction atomic.Bool
 	// expired tells that open transactions have to end because the process stops.
@@ -177,10 +179,12 @@
 
 // operation is a checked single statement or transaction.
 type operation struct {
-	route      policy.Route
-	team       model.TeamName
-	startedAt  time.Time
-	version    int64
+	route     policy.Route
+	team      model.TeamName
+	startedAt time.Time
+	version   int64
+	// admittedBy is the VM that found the operation to be within or over the rate of its team.
+	admittedBy model.VMID
 	refusal    model.Reply
 	endSession bool
 }
@@ -199,7 +203,9 @@
 	if !known {
 		return op
 	}
-	if verdict := c.server.config.Limiter.Admit(now, limits); !verdict.Admitted {
+	verdict := c.server.config.Limiter.Admit(now, limits)
+	op.admittedBy = verdict.By
+	if !verdict.Admitted {
 		reason := fmt.Sprintf("over the rate of the team rate=%.1f part=%.1f demand=%.1f others=%.1f",
 			limits.Rate, verdict.Part, verdict.Demand, verdict.Fleet)
 		op.refusal = c.server.refuse(model.FaultTooMany, reason, verdict.RetryAfter)
--- a/serve/pick.go
+++ b/serve/pick.go
@@ -65,7 +65,9 @@
 	if to.primary {
 		request.Term = to.lease.Term
 	}
-	return c.server.config.Source.Get(now, request)
+	conn, err := c.server.config.Source.Get(now, request)
+	c.last = conn
+	return conn, err
 }
 
 // patience is how long the operation may wait for an instance, a connection or a primary before it is refused.
--- a/serve/report.go
+++ b/serve/report.go
@@ -24,7 +24,11 @@
 	}
 	c.server.config.Metrics.Tagged(map[string]string{"outcome": outcome}).Counter("statements").Inc(1)
 	c.server.config.Metrics.Histogram("statement_latency", latencyBuckets).RecordDuration(latency)
+	holder := ""
+	if instance != "" && c.last != nil {
+		holder = c.last.Holder()
+	}
 	c.server.config.Log.Info("statement", "id", command.ID, "kind", command.Kind, "route", op.route.Name, "team", op.team,
-		"policy", op.version, "instance", instance, "mark", reply.Mark, "attempts", attempts, "ms", latency.Milliseconds(),
+		"policy", op.version, "admitted-by", op.admittedBy, "instance", instance, "holder", holder, "mark", reply.Mark, "attempts", attempts, "ms", latency.Milliseconds(),
 		"outcome", outcome, "detail", reply.Detail)
 }
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -57,6 +57,8 @@
 		Part, Demand float64
 		// Fleet is what the other VMs told that they are asked for.
 		Fleet float64
+		// By is the VM that decided.
+		By model.VMID
 	}
 
 	told struct {
