Questions to a large fleet are passed on by VMs that were asked

Ruled out: VMs that did not confirm (released=137 all=true), the promotion (0.3 s). Change: beyond 24 VMs, about the root of the number is asked directly, each with a part of its failure domain to ask in turn; the parts are drawn anew for those that are missing. Conclusion: 13 and 21 VMs are asked as before.

--- a/peers/client.go
+++ b/peers/client.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,16 +38,6 @@
 	return ask[CopiesReply](ctx, c, peer, pathCopies, request)
 }
 
-// Release asks a VM to stop using a primary.
-func (c *Client) Release(ctx context.Context, peer netip.AddrPort, request ReleaseRequest) (elect.Release, error) {
-	return ask[elect.Release](ctx, c, peer, pathRelease, request)
-}
-
-// Opinion asks a VM about a primary.
-func (c *Client) Opinion(ctx context.Context, peer netip.AddrPort, request OpinionRequest) (elect.Opinion, error) {
-	return ask[elect.Opinion](ctx, c, peer, pathOpinion, request)
-}
-
 func ask[A, Q any](ctx context.Context, c *Client, peer netip.AddrPort, path string, question Q) (A, error) {
 	var answer A
 	body, err := json.Marshal(question)
@@ -76,37 +65,24 @@
 
 // Releases asks all VMs at once to stop using a primary and returns the confirmations that came in time.
 func (c *Client) Releases(ctx context.Context, vms []world.VM, request ReleaseRequest) []elect.Release {
-	return all(vms, func(vm world.VM) (elect.Release, error) {
-		release, err := c.Release(ctx, vm.Peers, request)
-		release.VM = vm.Name
-		return release, err
+	return askAll(ctx, vms, func(vm world.VM, spread Spread) ([]elect.Release, error) {
+		request := request
+		request.Spread = spread
+		releases, err := ask[[]elect.Release](ctx, c, vm.Peers, pathRelease, request)
+		if len(releases) > 0 {
+			releases[0].VM = vm.Name
+		}
+		return releases, err
 	})
 }
 
 // Opinions asks all VMs at once about a primary and returns the answers that came in time.
 func (c *Client) Opinions(ctx context.Context, vms []world.VM, group model.GroupName) []elect.Opinion {
-	return all(vms, func(vm world.VM) (elect.Opinion, error) {
-		opinion, err := c.Opinion(ctx, vm.Peers, OpinionRequest{Group: group})
-		opinion.VM = vm.Name
-		return opinion, err
+	return askAll(ctx, vms, func(vm world.VM, spread Spread) ([]elect.Opinion, error) {
+		opinions, err := ask[[]elect.Opinion](ctx, c, vm.Peers, pathOpinion, OpinionRequest{Group: group, Spread: spread})
+		if len(opinions) > 0 {
+			opinions[0].VM = vm.Name
+		}
+		return opinions, err
 	})
 }
-
-func all[A any](vms []world.VM, question func(world.VM) (A, error)) []A {
-	var mu sync.Mutex
-	var wait sync.WaitGroup
-	answers := make([]A, 0, len(vms))
-	for _, vm := range vms {
-		wait.Go(func() {
-			answer, err := question(vm)
-			if err != nil {
-				return // A VM that does not answer is missing from the result, which the caller counts.
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			answers = append(answers, answer)
-		})
-	}
-	wait.Wait()
-	return answers
-}
--- a/peers/message.go
+++ b/peers/message.go
@@ -45,11 +45,13 @@
 		Version int64
 		// Settle is how long answers that are under way may still be waited for.
 		Settle time.Duration
+		Spread Spread
 	}
 
 	// OpinionRequest asks a VM whether it reaches the primary of a group.
 	OpinionRequest struct {
-		Group model.GroupName
+		Group  model.GroupName
+		Spread Spread
 	}
 
 	// Local answers peers.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -50,9 +50,9 @@
 	copies, err := c.Copies(t.Context(), peer, CopiesRequest{Versions: map[model.TableName]int64{"t": 6}, Wait: time.Second})
 	require.NoError(t, err)
 	require.Equal(t, answers{}.Copies(CopiesRequest{Versions: map[model.TableName]int64{"t": 6}, Wait: time.Second}), copies)
-	release, err := c.Release(t.Context(), peer, ReleaseRequest{Group: "g", Version: 8})
-	require.NoError(t, err)
-	require.Equal(t, model.Position(8), release.Known.Position)
+	releases := c.Releases(t.Context(), []world.VM{{Name: "a", Peers: peer}}, ReleaseRequest{Group: "g", Version: 8})
+	require.Len(t, releases, 1)
+	require.Equal(t, elect.Release{VM: "a", Known: model.Mark{Term: 1, Position: 8}}, releases[0])
 }
 
 func TestVMsThatDoNotAnswerAreMissing(t *testing.T) {
--- a/peers/server.go
+++ b/peers/server.go
@@ -1,11 +1,15 @@
 package peers
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 
 	"github.com/charmbracelet/log"
+
+	"github.com/crocusshore/crocusshore/elect"
+	"github.com/crocusshore/crocusshore/world"
 )
 
 // maxBody bounds a message between VMs in bytes.
@@ -13,10 +17,17 @@
 
 // Handler serves the questions of other VMs.
 func Handler(local Local, logger *log.Logger) http.Handler {
+	client := NewClient()
 	mux := http.NewServeMux()
 	mux.Handle("POST "+pathCopies, answer(logger, local.Copies))
-	mux.Handle("POST "+pathRelease, answer(logger, local.Release))
-	mux.Handle("POST "+pathOpinion, answer(logger, local.Opinion))
+	mux.Handle("POST "+pathRelease, answer(logger, func(r ReleaseRequest) []elect.Release {
+		own := func() elect.Release { return local.Release(r) }
+		return passOn(r.Spread, own, func(ctx context.Context, vms []world.VM) []elect.Release { return client.Releases(ctx, vms, r) })
+	}))
+	mux.Handle("POST "+pathOpinion, answer(logger, func(r OpinionRequest) []elect.Opinion {
+		own := func() elect.Opinion { return local.Opinion(r) }
+		return passOn(r.Spread, own, func(ctx context.Context, vms []world.VM) []elect.Opinion { return client.Opinions(ctx, vms, r.Group) })
+	}))
 	return mux
 }
 
--- /dev/null
+++ b/peers/spread_test.go
@@ -0,0 +1,109 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/elect"
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/world"
+)
+
+// named is a VM that counts what it is asked.
+type named struct {
+	answers
+	name  model.VMID
+	asked *atomic.Int64
+}
+
+func (n named) Release(r ReleaseRequest) elect.Release {
+	n.asked.Add(1)
+	return elect.Release{VM: n.name, Known: model.Mark{Term: 1, Position: model.Position(r.Version)}}
+}
+
+func (n named) Opinion(OpinionRequest) elect.Opinion { return elect.Opinion{VM: n.name, Reached: true} }
+
+func newNamed(t *testing.T, count int) ([]world.VM, *atomic.Int64) {
+	t.Helper()
+	var asked atomic.Int64
+	var vms []world.VM
+	for i := range count {
+		name := model.VMID(fmt.Sprintf("vm-%03d", i))
+		server := httptest.NewServer(Handler(named{name: name, asked: &asked}, log.New(io.Discard)))
+		t.Cleanup(server.Close)
+		vms = append(vms, world.VM{Name: name, Domain: model.Domain(fmt.Sprint(i % 3)), Peers: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))})
+	}
+	return vms, &asked
+}
+
+func names(releases []elect.Release) []model.VMID {
+	found := make([]model.VMID, 0, len(releases))
+	for _, r := range releases {
+		found = append(found, r.VM)
+	}
+	return found
+}
+
+func TestQuestionToALargeFleetIsPassedOn(t *testing.T) {
+	vms, asked := newNamed(t, 117)
+	require.LessOrEqual(t, len(parts(vms)), 13, "the asking VM asks few")
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	releases := NewClient().Releases(ctx, vms, ReleaseRequest{Group: "g", Version: 9})
+	require.Len(t, releases, 117)
+	require.EqualValues(t, 117, asked.Load(), "each VM is asked once")
+	seen := map[model.VMID]bool{}
+	for _, name := range names(releases) {
+		seen[name] = true
+	}
+	require.Len(t, seen, 117)
+	require.Len(t, NewClient().Opinions(ctx, vms, "g"), 117)
+}
+
+func TestVMsBehindASilentOneAreReachedTheNextTime(t *testing.T) {
+	vms, _ := newNamed(t, 40)
+	vms[7].Peers = netip.MustParseAddrPort("127.0.0.1:1")
+	done := map[model.VMID]bool{}
+	for range 12 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		var missing []world.VM
+		for _, vm := range vms {
+			if !done[vm.Name] {
+				missing = append(missing, vm)
+			}
+		}
+		for _, name := range names(NewClient().Releases(ctx, missing, ReleaseRequest{Group: "g"})) {
+			done[name] = true
+		}
+		cancel()
+	}
+	require.Len(t, done, 39, "all but the silent one")
+	require.False(t, done["vm-007"])
+}
+
+func TestPartsKeepFailureDomainsApart(t *testing.T) {
+	var vms []world.VM
+	for i := range 100 {
+		vms = append(vms, world.VM{Name: model.VMID(fmt.Sprint(i)), Domain: model.Domain(fmt.Sprint(i % 4))})
+	}
+	count := 0
+	for _, part := range parts(vms) {
+		for _, vm := range part {
+			require.Equal(t, part[0].Domain, vm.Domain)
+			count++
+		}
+	}
+	require.Equal(t, 100, count)
+	require.Len(t, parts(vms[:mostDirect]), mostDirect, "a small fleet is asked directly")
+	require.Empty(t, parts(nil))
+}
