A replacement whose duty is over is resumed at once by whoever holds the duty

Another VM took the duty at 15.1 s for another group and kept it until 18.6 s, while the first group's intent stood: a VM resumed it only six seconds after it first saw it, and the VM that had announced it could not get the duty. Its primary was named at 19.4 s, that of a third group at 22.9 s. Change: an intent of an older duty, of one that was given back, or of a process that ended is abandoned; the need to resume it is seen at once.

--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -152,3 +152,11 @@
 	require.True(t, MayClaim(now.Add(orderTime), ended))
 	require.False(t, MayClaim(now.Add(orderTime), Claim{UnchangedSince: now}))
 }
+
+func TestAbandonedReplacementIsResumedAtOnce(t *testing.T) {
+	now := time.Unix(100, 0)
+	signs := Signs{Known: true, Registered: true, Announced: true, AnnouncedSince: now}
+	require.Equal(t, KindNone, Need(now, signs))
+	signs.Abandoned = true
+	require.Equal(t, KindResume, Need(now, signs))
+}
--- a/elect/need.go
+++ b/elect/need.go
@@ -44,7 +44,9 @@
 	Leaving           bool
 	// Announced tells that a replacement is under way, since AnnouncedSince on this VM's clock, by this VM where Ours is set.
 	Announced, Ours bool
-	AnnouncedSince  time.Time
+	// Abandoned tells that whoever announced it holds the duty no longer, and so cannot go on.
+	Abandoned      bool
+	AnnouncedSince time.Time
 	// FailingSince and Failures describe failures without an answer in between.
 	FailingSince time.Time
 	Failures     int
@@ -57,7 +59,7 @@
 	switch {
 	case !s.Known:
 		return KindAdopt
-	case s.Announced && (s.Ours || now.Sub(s.AnnouncedSince) >= resumeAfter):
+	case s.Announced && (s.Ours || s.Abandoned || now.Sub(s.AnnouncedSince) >= resumeAfter):
 		return KindResume
 	case s.Announced:
 		return KindNone
--- a/orders/supervisor.go
+++ b/orders/supervisor.go
@@ -115,7 +115,8 @@
 
 // signs collects what this VM knows of the primary of a group.
 func (s *Supervisor) signs(now time.Time, group model.GroupName, w *watched) elect.Signs {
-	primary, lead, registered := s.config.World.State().Primary(group)
+	state := s.config.World.State()
+	primary, lead, registered := state.Primary(group)
 	signs := elect.Signs{Known: lead.Version > 0, Registered: registered, Leaving: primary.Leaving}
 	if lead.Next != nil {
 		if w.announced != lead.Version {
@@ -123,6 +124,7 @@
 		}
 		signs.Announced, signs.AnnouncedSince = true, w.announcedAt
 		signs.Ours = lead.Next.Holder == s.config.Self && !w.busy
+		signs.Abandoned = abandoned(state, *lead.Next) && !w.busy
 	}
 	if registered {
 		health := s.config.Track.Health(primary.Name)
@@ -132,6 +134,13 @@
 	return signs
 }
 
+// abandoned tells whether the duty under which a replacement was announced is over: it was taken by another process or given back, or
+// the process that holds it has ended.
+func abandoned(state *world.State, intent world.Intent) bool {
+	duty := state.Duty
+	return duty.Fence > intent.Fence || (duty.Fence == intent.Fence && (duty.Released || holderEnded(state, duty)))
+}
+
 // delay is how long this VM leaves a group to the VMs that rank before it.
 func (s *Supervisor) delay(group model.GroupName) time.Duration {
 	if s.duty.holds(clock.Now()) {
