Questions to all VMs of a large fleet have time for each of them

Change: the bound grows by 4 ms for each VM: 0.35 s at 13, 0.85 s at 137. Answers that come are not waited for any longer than before. Also here: a test of the look at idle sockets.

--- a/orders/release.go
+++ b/orders/release.go
@@ -32,7 +32,7 @@
 		settle = settleTime
 	}
 	request := peers.ReleaseRequest{Group: r.group, Version: r.lead.Version, Settle: settle}
-	ctx, cancel := context.WithTimeout(ctx, settle+releaseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, settle+r.s.allVMs(releaseTimeout))
 	defer cancel()
 	var missing []world.VM
 	for _, vm := range r.s.config.World.State().Others(r.s.config.Self) {
--- a/orders/replace.go
+++ b/orders/replace.go
@@ -17,8 +17,10 @@
 const (
 	// settleTime is how long answers of a primary that still serves are waited for.
 	settleTime = 250 * time.Millisecond
-	// releaseTimeout bounds the question to a VM, on top of the settle time.
+	// releaseTimeout bounds the question to all VMs, on top of the settle time.
 	releaseTimeout = 300 * time.Millisecond
+	// timePerVM is added to the bounds of questions to all VMs for each of them: small VMs need it to ask and to answer.
+	timePerVM = 4 * time.Millisecond
 	// feedSlack is added to the lease bound for a feed that delivers the announcement late.
 	feedSlack = 1000 * time.Millisecond
 	// stepPause is the pause between two looks at the replicas.
@@ -95,9 +97,14 @@
 	return nil
 }
 
+// allVMs returns how long a question to all VMs may take.
+func (s *Supervisor) allVMs(least time.Duration) time.Duration {
+	return least + time.Duration(len(s.config.World.State().VMs))*timePerVM
+}
+
 // opinions asks the other VMs whether the primary has to be replaced.
 func (s *Supervisor) opinions(ctx context.Context, group model.GroupName) elect.Verdict {
-	ctx, cancel := context.WithTimeout(ctx, opinionTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.allVMs(opinionTimeout))
 	defer cancel()
 	opinions := s.config.Client.Opinions(ctx, s.config.World.State().Others(s.config.Self), group)
 	opinions = append(opinions, s.config.Local.Opinion(peers.OpinionRequest{Group: group}))
--- /dev/null
+++ b/sock/idle_test.go
@@ -0,0 +1,34 @@
+package sock
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestIdleSeesDataAndTheEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	peer, err := listener.Accept()
+	require.NoError(t, err)
+	tcp, ok := conn.(*net.TCPConn)
+	require.True(t, ok)
+	raw, err := tcp.SyscallConn()
+	require.NoError(t, err)
+	require.True(t, Idle(raw))
+	_, err = peer.Write([]byte("x"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !Idle(raw) }, time.Second, time.Millisecond, "something waits to be read")
+	_, err = conn.Read(make([]byte, 1))
+	require.NoError(t, err)
+	require.True(t, Idle(raw))
+	require.NoError(t, peer.Close())
+	require.Eventually(t, func() bool { return !Idle(raw) }, time.Second, time.Millisecond, "the end waits to be read")
+	require.NoError(t, conn.Close())
+	require.False(t, Idle(raw), "a closed connection is not idle")
+}
