--- a/remote/remote_test.go
+++ b/remote/remote_test.go
@@ -1,139 +1,22 @@
 package remote
 
 import (
-	"context"
-	"io"
 	"net"
 	"net/netip"
 	"os"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
-	"github.com/crocusshore/crocusshore/platform"
-	"github.com/crocusshore/crocusshore/retry"
 	"github.com/crocusshore/crocusshore/stand"
 )
 
-const teamName = "builders"
-
-// host is a VM that holds connections.
-type host struct {
-	cluster *stand.Cluster
-	pool    *conns.Pool
-	address netip.AddrPort
-	server  *Server
-
-	mu       sync.Mutex
-	instance model.Instance
-	leased   bool
-	using    int
-	failures []error
-}
-
-func (h *host) Instance(name model.InstanceName) (model.Instance, bool) {
-	return h.instance, name == h.instance.Name
-}
-
-func (h *host) Use(time.Time, model.Instance, model.Term) (func(), bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.leased {
-		return nil, false
-	}
-	h.using++
-	return func() {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.using--
-	}, true
-}
-
-func (h *host) Answered(time.Time, model.Instance, model.Term, model.Reply) {}
-
-func (h *host) Failed(_ model.InstanceName, err error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.failures = append(h.failures, err)
-}
-
-func (h *host) setLeased(leased bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.leased = leased
-}
-
-// newHost returns a VM with one primary that takes budget connections, and a client's way to it.
-func newHost(t *testing.T, budget int) (*host, *Source) {
-	t.Helper()
-	instance := model.Instance{Name: "i-1", Group: "orders", Role: model.RolePrimary, Slots: 3}
-	replica := model.Instance{Name: "i-2", Group: "orders", Role: model.RoleReplica, Slots: 3}
-	h := &host{instance: instance, leased: true, cluster: stand.NewCluster(stand.ClusterConfig{Group: "orders", Instances: []model.Instance{instance, replica}})}
-	pulling, stop := context.WithCancel(context.Background())
-	t.Cleanup(stop)
-	go func() {
-		for retry.Sleep(pulling, time.Millisecond) {
-			h.cluster.Pull(time.Now())
-		}
-	}()
-	h.pool = conns.New(conns.Config{Dialer: h.cluster, Phrases: platform.Phrases{}, Budget: func(model.Instance) int { return budget }})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	h.address = netip.MustParseAddrPort(listener.Addr().String())
-	server := NewServer(ServerConfig{Pool: h.pool, Host: h, Log: log.New(io.Discard)})
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go server.Serve(conn)
-		}
-	}()
-	t.Cleanup(func() { _ = listener.Close() })
-	h.server = server
-	return h, newSource(h.address)
-}
-
-func newSource(homes ...netip.AddrPort) *Source {
-	return NewSource(SourceConfig{Client: NewClient(), Homes: func(model.InstanceName, model.TeamName) []Home {
-		var found []Home
-		for _, address := range homes {
-			found = append(found, Home{Address: address})
-		}
-		return found
-	}})
-}
-
-func get(t *testing.T, s *Source, wait time.Duration) model.Connection {
-	t.Helper()
-	now := clock.Now()
-	c, err := s.Get(now, conns.Request{Instance: model.Instance{Name: "i-1"}, Team: teamName, Deadline: now.Add(wait), Term: 1})
-	require.NoError(t, err)
-	return c
-}
-
-// requireIs tells apart marked errors, which the standard library's errors.Is does not see.
-func requireIs(t *testing.T, err, target error, why ...any) {
-	t.Helper()
-	require.True(t, errors.Is(err, target), "%v %v", err, why)
-}
-
-func requireIsNot(t *testing.T, err, target error, why ...any) {
-	t.Helper()
-	require.False(t, errors.Is(err, target), "%v %v", err, why)
-}
-
-func soon() time.Time { return clock.Now().Add(time.Second) }
-
 func TestStatementsRunOnTheConnectionsOfAnotherVM(t *testing.T) {
 	_, source := newHost(t, 1)
 	c := get(t, source, time.Second)
