One run of a remote statement, one test for an instance's refusal, one record of a sampled position

Clean-up after the last read of the diff, without a change of behaviour: remote.Conn told the hand-over to the next home twice and mapped a request to Run or Execute beside the server's execute; serve.Use repeated World.Holds, and the host's record of an answer that of Server.answered; errors.As on a refusal stood in five places (model.Refused). Comments that still spoke of a part of the rate for each VM name the failure domain.

--- a/conns/budget.go
+++ b/conns/budget.go
@@ -13,12 +13,12 @@
 //
 // Every VM of the instance's failure domain counts once, and the others count less unless the instance is the primary.
 func Part(most, near, far int, local, primary bool) float64 {
-	far64 := farWeight
+	others := farWeight
 	if primary {
-		far64 = 1
+		others = 1
 	}
-	total := float64(near) + far64*float64(far)
-	own := far64
+	total := float64(near) + others*float64(far)
+	own := others
 	if local {
 		own = 1
 	}
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -46,8 +46,7 @@
 // Status asks the instance for its state; an error that is no refusal breaks the connection.
 func (c *Conn) Status(deadline time.Time) (model.InstanceState, error) {
 	state, err := c.link.Status(clock.Wall(deadline))
-	var refused *model.LinkError
-	if err != nil && !errors.As(err, &refused) {
+	if _, refused := model.Refused(err); err != nil && !refused {
 		c.broken = true
 	}
 	return state, err
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -158,8 +158,7 @@
 	b := p.bucket(request.Instance)
 	b.open--
 	now := clock.Now()
-	var refused *model.LinkError
-	if errors.As(err, &refused) && refused.Fault == model.FaultTooMany {
+	if refused, ok := model.Refused(err); ok && refused.Fault == model.FaultTooMany {
 		b.pausedTil = now.Add(refusedPause)
 	}
 	p.hand(now, b)
--- a/model/link.go
+++ b/model/link.go
@@ -98,5 +98,12 @@
 	}
 )
 
+// Refused returns the refusal of an instance that an error holds.
+func Refused(err error) (*LinkError, bool) {
+	var refused *LinkError
+	ok := errors.As(err, &refused)
+	return refused, ok
+}
+
 // Error returns the fault and the detail.
 func (e *LinkError) Error() string { return string(e.Fault) + ": " + e.Detail }
--- a/remote/conn.go
+++ b/remote/conn.go
@@ -35,26 +35,26 @@
 
 // Run runs one query on the connection.
 func (c *Conn) Run(deadline time.Time, values map[string]string, q model.Query) (model.Reply, error) {
-	if c.own != nil {
-		return c.own.Run(deadline, values, q)
-	}
-	answer, err := c.step(deadline, Request{Values: values, Query: q})
-	if errors.Is(err, errLeaving) {
-		return c.next(deadline, err, func() (model.Reply, error) { return c.Run(deadline, values, q) })
-	}
-	return answer.Reply, err
+	return c.run(deadline, Request{Values: values, Query: q})
 }
 
 // Execute runs one prepared statement on the connection.
 func (c *Conn) Execute(deadline time.Time, values map[string]string, p model.Prepared, q model.Query, arguments string) (model.Reply, error) {
-	if c.own != nil {
-		return c.own.Execute(deadline, values, p, q, arguments)
-	}
-	answer, err := c.step(deadline, Request{Values: values, Query: q, Prepared: &p, Arguments: arguments})
-	if errors.Is(err, errLeaving) {
-		return c.next(deadline, err, func() (model.Reply, error) { return c.Execute(deadline, values, p, q, arguments) })
+	return c.run(deadline, Request{Values: values, Query: q, Prepared: &p, Arguments: arguments})
+}
+
+// run runs a statement, at the next home where one takes no new work.
+func (c *Conn) run(deadline time.Time, r Request) (model.Reply, error) {
+	for c.own == nil {
+		answer, err := c.step(deadline, r)
+		if !errors.Is(err, errLeaving) {
+			return answer.Reply, err
+		}
+		if err := c.next(deadline, err); err != nil {
+			return model.Reply{}, err
+		}
 	}
-	return answer.Reply, err
+	return execute(c.own, deadline, r)
 }
 
 // Status asks the instance for its state.
@@ -85,8 +85,8 @@
 	}
 }
 
-// next goes on with the next home, after one that takes no new work.
-func (c *Conn) next(deadline time.Time, leaving error, run func() (model.Reply, error)) (model.Reply, error) {
+// next takes a connection of the next home, after one that takes no new work.
+func (c *Conn) next(deadline time.Time, leaving error) error {
 	now := clock.Now()
 	c.source.config.Client.markDown(now, c.home)
 	_ = c.stream.conn.Close()
@@ -97,7 +97,7 @@
 	connection, err := c.source.first(now, c.rest, request)
 	if err != nil {
 		c.broken = true
-		return model.Reply{}, errors.Mark(errors.CombineErrors(err, leaving), model.ErrNotSent)
+		return errors.Mark(errors.CombineErrors(err, leaving), model.ErrNotSent)
 	}
 	switch found := connection.(type) {
 	case *conns.Conn:
@@ -105,7 +105,7 @@
 	case *Conn:
 		c.home, c.stream, c.rest = found.home, found.stream, found.rest
 	}
-	return run()
+	return nil
 }
 
 func (c *Conn) step(deadline time.Time, r Request) (Answer, error) {
--- a/remote/server.go
+++ b/remote/server.go
@@ -148,11 +148,11 @@
 }
 
 func notSent(err error) Answer {
-	var refused *model.LinkError
+	refused, ok := model.Refused(err)
 	switch {
 	case errors.Is(err, conns.ErrBusy):
 		return Answer{Failure: FailureBusy, Detail: err.Error()}
-	case errors.As(err, &refused):
+	case ok:
 		return Answer{Failure: FailureRefused, Fault: refused.Fault, Detail: refused.Detail}
 	default:
 		return Answer{Failure: FailureUnreachable, Detail: err.Error()}
--- a/remote/source.go
+++ b/remote/source.go
@@ -15,7 +15,7 @@
 	SourceConfig struct {
 		Pool   *conns.Pool
 		Client *Client
-		// Homes returns where the connections of a team to an instance are held, best first; it is empty where each VM holds its own.
+		// Homes returns where the connections of a team to an instance are held, best first; it is empty while no VM is known.
 		Homes func(instance model.InstanceName, team model.TeamName) []Home
 	}
 
--- a/serve/demand.go
+++ b/serve/demand.go
@@ -4,8 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/policy"
 )
@@ -50,8 +48,3 @@
 	}
 	return groups
 }
-
-func isRefusal(err error) bool {
-	var refused *model.LinkError
-	return errors.As(err, &refused)
-}
--- a/serve/host.go
+++ b/serve/host.go
@@ -5,7 +5,7 @@
 
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/model"
-	"github.com/crocusshore/crocusshore/sample"
+	"github.com/crocusshore/crocusshore/world"
 )
 
 // Instance returns an instance that this VM knows.
@@ -19,8 +19,7 @@
 func (s *Server) Use(now time.Time, instance model.Instance, term model.Term) (done func(), ok bool) {
 	group := instance.Group
 	s.inflight.add(group, 1)
-	lease, leased := s.config.World.Lease(now, group)
-	if !leased || lease.Term != term || lease.Primary.Name != instance.Name {
+	if !s.config.World.Holds(now, world.Lease{Group: group, Term: term, Primary: instance}) {
 		s.inflight.add(group, -1)
 		return nil, false
 	}
@@ -30,8 +29,8 @@
 // Answered records the answer of an instance to a statement of another VM.
 func (s *Server) Answered(sentAt time.Time, instance model.Instance, term model.Term, reply model.Reply) {
 	s.config.Track.Alive(clock.Now(), instance.Name)
-	if term > 0 && reply.Mark.Term == term {
-		s.config.Samples.Add(instance.Group, sample.Sample{At: sentAt, Mark: reply.Mark})
+	if term > 0 {
+		s.sampled(sentAt, instance.Group, term, reply)
 	}
 }
 
--- a/serve/read.go
+++ b/serve/read.go
@@ -118,8 +118,15 @@
 	} else {
 		s.config.Track.Alive(now, to.instance.Name)
 	}
-	if to.primary && reply.Mark.Term == to.lease.Term {
-		s.config.Samples.Add(op.route.Group, sample.Sample{At: sentAt, Mark: reply.Mark})
+	if to.primary {
+		s.sampled(sentAt, op.route.Group, to.lease.Term, reply)
+	}
+}
+
+// sampled keeps the position in the answer of the primary of a term to a statement sent at an instant.
+func (s *Server) sampled(sentAt time.Time, group model.GroupName, term model.Term, reply model.Reply) {
+	if reply.Mark.Term == term {
+		s.config.Samples.Add(group, sample.Sample{At: sentAt, Mark: reply.Mark})
 	}
 }
 
@@ -129,8 +136,7 @@
 	if errors.IsAny(err, conns.ErrBusy, errLease, remote.ErrLease, remote.ErrHome) {
 		return
 	}
-	var refused *model.LinkError
-	if errors.As(err, &refused) && refused.Fault != model.FaultMisdirected {
+	if refused, ok := model.Refused(err); ok && refused.Fault != model.FaultMisdirected {
 		return
 	}
 	s.config.Track.Failed(clock.Now(), instance)
--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -146,7 +146,8 @@
 	}
 	state, _, err := s.ask(primary)
 	if err != nil {
-		return isRefusal(err)
+		_, refused := model.Refused(err)
+		return refused
 	}
 	return state.Role == model.RolePrimary && state.Term == lead.Term
 }
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -28,11 +28,11 @@
 
 	// Config tells a limiter about the fleet.
 	Config struct {
-		// Weight returns the part of a demand that this VM expects while nothing is known; the weights of all VMs add up to 1.
+		// Weight returns the part of a demand that this failure domain expects while nothing is known; all weights add up to 1.
 		Weight func() float64
 		// Team returns the limits of a team, and whether it exists.
 		Team func(name model.TeamName) (policy.Team, bool)
-		// Slack is how many operations above rate and burst the fleet may run in a window; it gives each VM a burst of its own.
+		// Slack is how many operations above rate and burst the fleet may run in a window; it gives each failure domain a burst of its own.
 		Slack float64
 	}
 
@@ -53,9 +53,9 @@
 		Admitted bool
 		// RetryAfter is when the next token of this VM is there.
 		RetryAfter time.Duration
-		// Part is what this VM may use of the team's rate, and Demand what it is asked for, in operations a second.
+		// Part is what the failure domain may use of the team's rate, and Demand what it is asked for, in operations a second.
 		Part, Demand float64
-		// Fleet is what the other VMs told that they are asked for.
+		// Fleet is what the other failure domains told that they are asked for.
 		Fleet float64
 		// By is the VM that decided.
 		By model.VMID
--- a/share/split.go
+++ b/share/split.go
@@ -5,10 +5,11 @@
 // leastDemand is the demand that is counted for all VMs together where none is known, in operations a second.
 const leastDemand = 4
 
-// Split returns the part of a rate that a VM may use; weight is the part of the demand that it expects while nothing is known.
+// Split returns the part of a rate that a failure domain may use; weight is the part of the demand that it expects while nothing is
+// known.
 //
-// The parts of VMs that know the same demands add up to the rate: what is not asked for is divided by the weights, and where more
-// is asked for than allowed, each VM gets its part of the demand.
+// The parts of failure domains that know the same demands add up to the rate: what is not asked for is divided by the weights, and where more
+// is asked for than allowed, each gets its part of the demand.
 func Split(rate, own, others, weight float64) float64 {
 	own += leastDemand * weight
 	total := own + others + leastDemand*(1-weight)
@@ -28,7 +29,7 @@
 	evenShare = 0.4
 )
 
-// Size returns the burst of a VM that uses a part of a team's rate; the bursts of all VMs add up to the team's burst and the slack.
+// Size returns the burst of a failure domain that uses a part of a team's rate; the bursts of all add up to the team's burst and the slack.
 func Size(limits policy.Team, slack, part, weight float64) float64 {
 	all := limits.Burst + usedSlack*slack
 	return max(1, all*(evenShare*weight+(1-evenShare)*part/max(limits.Rate, part, 1e-9)))
