Replicas serve reads while the primary is out of reach, since all of them together prove what was acknowledged

Cause: a position that a read requires came from the primary alone. While a failure domain is cut off with a primary in it, or a primary is dark until another may be promoted, the last position is too old after 1.5 s (bounded) or 2.5 s (session), and replicas in reach were refused to readers.

Change: a commit of a replicated group is acknowledged after one replica received it. So what the furthest of all replicas has received covers every commit acknowledged before they were asked, as of the time at which they were known to be all. Nothing is proven where a replica left or started anew in the last 20 s, does not answer, or follows another term. One refresh of a group runs at a time, and a witness that does not answer keeps no other group waiting.

Ruled out: a longer age (breaks the bound), the lag that a replica reports (a claim, not a proof).

--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/crocusshore/crocusshore/clock"
@@ -63,21 +64,34 @@
 	return ages
 }
 
-// refresh takes a sample where the last one is older than an age.
+// refresh takes a sample where the last one is older than an age, unless one is being taken.
 func (s *Server) refresh(now time.Time, group model.GroupName, age time.Duration) {
-	if s.config.World.ProofAge(now, group) > witnessAge {
-		s.witness(group)
-	}
-	lease, ok := s.config.World.Lease(now, group)
-	if !ok {
+	lead := s.config.World.State().Leads[group]
+	last, known := s.config.Samples.Last(group)
+	young := known && last.Mark.Term == lead.Term && now.Sub(last.At) < age
+	lease, leased := s.config.World.Lease(now, group)
+	failing := s.config.Track.Health(lead.Primary).Failures > 0
+	unproven := s.config.World.ProofAge(now, group) > witnessAge
+	if young && !failing && !unproven {
 		return
 	}
-	last, known := s.config.Samples.Last(group)
-	failing := s.config.Track.Health(lease.Primary.Name).Failures > 0
-	if known && last.Mark.Term == lease.Term && now.Sub(last.At) < age && !failing {
+	if _, busy := s.refreshing.LoadOrStore(group, struct{}{}); busy {
 		return
 	}
-	go s.sample(lease)
+	var wait sync.WaitGroup
+	if unproven {
+		wait.Go(func() { s.witness(group) })
+	}
+	if leased && (!young || failing) {
+		wait.Go(func() { s.sample(lease) })
+	}
+	if !young && (!leased || failing) {
+		wait.Go(func() { s.sampleReplicas(now, group, lead.Term) })
+	}
+	go func() {
+		wait.Wait()
+		s.refreshing.Delete(group)
+	}()
 }
 
 // sample asks a primary for its position.
@@ -93,6 +107,33 @@
 	}
 }
 
+// sampleReplicas asks all replicas of a group for what they received, while the primary cannot be asked.
+func (s *Server) sampleReplicas(now time.Time, group model.GroupName, term model.Term) {
+	replicas, asOf, ok := s.config.World.Replicas(now, group)
+	if !ok {
+		return
+	}
+	receipts := make([]sample.Receipt, len(replicas))
+	var wait sync.WaitGroup
+	for i, instance := range replicas {
+		wait.Go(func() {
+			state, sentAt, err := s.ask(instance)
+			if err != nil {
+				s.failed(instance.Name, err)
+				return // A receipt without a role proves nothing.
+			}
+			receipts[i] = sample.Receipt{At: sentAt, State: state}
+		})
+	}
+	wait.Wait()
+	proven, ok := sample.Received(term, asOf, receipts)
+	s.config.Log.Debug("replicas asked for what they received", "group", group, "term", term, "replicas", len(replicas), "proven", ok,
+		"mark", proven.Mark, "age", clock.Now().Sub(proven.At))
+	if ok {
+		s.config.Samples.Add(group, proven)
+	}
+}
+
 // ask asks an instance for its state on whatever connection is free.
 func (s *Server) ask(instance model.Instance) (state model.InstanceState, sentAt time.Time, err error) {
 	now := clock.Now()
--- a/serve/server.go
+++ b/serve/server.go
@@ -59,6 +59,8 @@
 		acked    *acked
 		demand   *demand
 		draining atomic.Bool
+		// refreshing holds the groups that are being sampled.
+		refreshing sync.Map
 		// confirming is held while a confirmation is recorded, and shared by answers that are about to be acknowledged.
 		confirming sync.RWMutex
 
--- a/watch/follower.go
+++ b/watch/follower.go
@@ -222,7 +222,7 @@
 	case f.config.Settings:
 		f.ingestSettings(page)
 	case f.config.Instances:
-		f.ingestInstances(page, whole)
+		f.ingestInstances(page, whole, at)
 	default:
 		if err := f.config.World.SetRows(page.Version, whole, page.Rows, at); err != nil {
 			f.config.Log.Error("row of a VM not understood", "error", err)
@@ -256,7 +256,7 @@
 	}
 }
 
-func (f *Follower) ingestInstances(page model.RowsPage, whole bool) {
+func (f *Follower) ingestInstances(page model.RowsPage, whole bool, at time.Time) {
 	known := f.config.World.State().Instances
 	var present []model.Instance
 	var gone []model.InstanceName
@@ -279,7 +279,7 @@
 		}
 		f.config.Log.Info("instance registered", "instance", i.Name, "group", i.Group, "domain", i.Domain, "role", i.Role, "leaving", i.Leaving, "row", r.Version)
 	}
-	for _, name := range f.config.World.SetInstances(page.Version, whole, present, gone) {
+	for _, name := range f.config.World.SetInstances(page.Version, whole, present, gone, at) {
 		time.AfterFunc(lapseGrace, func() { f.forget(name) })
 	}
 }
--- /dev/null
+++ b/world/replicas.go
@@ -0,0 +1,30 @@
+package world
+
+import (
+	"time"
+
+	"github.com/crocusshore/crocusshore/model"
+)
+
+// Replicas returns all replicas of a group with an instant as of which there were no others; false means that they may not have
+// every commit that was acknowledged.
+//
+// A commit of a replicated group is acknowledged after one replica received it. That replica may have left or started anew since.
+func (w *World) Replicas(now time.Time, group model.GroupName) (replicas []model.Instance, asOf time.Time, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.state.Load()
+	if s.Policy == nil || !s.Policy.Groups[group].Replicated {
+		return nil, time.Time{}, false
+	}
+	lead, known := s.Leads[group]
+	if !known || now.Sub(w.departed[group]) < departedTime || now.Sub(w.restarted[group]) < departedTime {
+		return nil, time.Time{}, false
+	}
+	for _, i := range s.Group(group) {
+		if i.Name != lead.Primary {
+			replicas = append(replicas, i)
+		}
+	}
+	return replicas, w.registeredAt, len(replicas) > 0
+}
--- a/world/schedule_test.go
+++ b/world/schedule_test.go
@@ -107,7 +107,7 @@
 	s := &schedule{t: t, random: rand.New(rand.NewPCG(seed, 5)), rule: r, now: at(0), version: 5}
 	for i := range runVMs {
 		w := New(Config{VM: model.VMID(fmt.Sprint(i)), Boot: "boot", LeaseBound: bound})
-		w.SetInstances(1, true, []model.Instance{{Name: "p", Group: "g", Address: netip.MustParseAddrPort("10.0.0.1:1")}}, nil)
+		w.SetInstances(1, true, []model.Instance{{Name: "p", Group: "g", Address: netip.MustParseAddrPort("10.0.0.1:1")}}, nil, time.Time{})
 		s.worlds = append(s.worlds, w)
 	}
 	return s
--- a/world/world.go
+++ b/world/world.go
@@ -39,8 +39,11 @@
 		confirmed map[model.GroupName]int64
 		// lapsed holds the instances whose registration is gone.
 		lapsed map[model.InstanceName]bool
-		// departed holds when a replica of a group was last forgotten.
-		departed map[model.GroupName]time.Time
+		// departed holds when a replica of a group was last forgotten, and restarted when one last started anew.
+		departed  map[model.GroupName]time.Time
+		restarted map[model.GroupName]time.Time
+		// registeredAt is the newest instant at which no registration was newer.
+		registeredAt time.Time
 		// removedAt is when the row of a VM was last seen deleted.
 		removedAt time.Time
 	}
@@ -56,6 +59,7 @@
 		confirmed:     map[model.GroupName]int64{},
 		lapsed:        map[model.InstanceName]bool{},
 		departed:      map[model.GroupName]time.Time{},
+		restarted:     map[model.GroupName]time.Time{},
 	}
 	w.state.Store(newState())
 	return w
@@ -79,19 +83,29 @@
 	return true
 }
 
-// SetInstances applies changed registrations, or all of them where whole is true, and returns the instances that lapsed.
+// SetInstances applies changed registrations, or all of them where whole is true, and returns the instances that lapsed; at is an
+// instant at which version was the newest.
 //
 // A registration that is gone stays in use until Forget: it may only have lapsed while the store was away.
-func (w *World) SetInstances(version int64, whole bool, present []model.Instance, gone []model.InstanceName) []model.InstanceName {
+func (w *World) SetInstances(version int64, whole bool, present []model.Instance, gone []model.InstanceName, at time.Time) []model.InstanceName {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if version < w.tableVersions[instances] || (version == w.tableVersions[instances] && !whole) {
+	if version < w.tableVersions[instances] {
+		return nil
+	}
+	if at.After(w.registeredAt) {
+		w.registeredAt = at
+	}
+	if version == w.tableVersions[instances] && !whole {
 		return nil
 	}
 	w.tableVersions[instances] = version
 	next := w.state.Load().clone()
 	registered := make(map[model.InstanceName]bool, len(present))
 	for _, i := range present {
+		if before, known := next.Instances[i.Name]; known && !before.Born.Equal(i.Born) && next.Leads[i.Group].Primary != i.Name {
+			w.restarted[i.Group] = at
+		}
 		next.Instances[i.Name] = i
 		registered[i.Name] = true
 		delete(w.lapsed, i.Name)
--- a/world/world_test.go
+++ b/world/world_test.go
@@ -36,7 +36,7 @@
 	t.Helper()
 	w := New(Config{VM: "vm", Boot: "boot", LeaseBound: bound})
 	instance := model.Instance{Name: "p", Group: "g", Address: netip.MustParseAddrPort("10.0.0.1:1")}
-	w.SetInstances(1, true, []model.Instance{instance}, nil)
+	w.SetInstances(1, true, []model.Instance{instance}, nil, at(0))
 	require.NoError(t, w.SetRows(5, true, []model.StoredRow{vm(t, 4, "boot"), lead(t, 5, 1, nil)}, at(0)))
 	return w
 }
@@ -130,19 +130,19 @@
 
 func TestLapsedInstanceStaysUntilItIsForgotten(t *testing.T) {
 	w := settled(t)
-	require.Equal(t, []model.InstanceName{"p"}, w.SetInstances(2, false, nil, []model.InstanceName{"p"}))
+	require.Equal(t, []model.InstanceName{"p"}, w.SetInstances(2, false, nil, []model.InstanceName{"p"}, at(0)))
 	_, ok := w.Lease(at(10), "g")
 	require.True(t, ok)
 	require.True(t, w.Forget(at(15), "p"))
 	_, ok = w.Lease(at(20), "g")
 	require.False(t, ok)
 	require.False(t, w.Departed(at(20), "g"), "it was the primary")
-	w.SetInstances(3, false, []model.Instance{{Name: "r", Group: "g"}}, nil)
-	w.SetInstances(4, false, nil, []model.InstanceName{"r"})
+	w.SetInstances(3, false, []model.Instance{{Name: "r", Group: "g"}}, nil, at(0))
+	w.SetInstances(4, false, nil, []model.InstanceName{"r"}, at(0))
 	require.True(t, w.Forget(at(15), "r"))
 	require.True(t, w.Departed(at(20), "g"))
 	require.False(t, w.Departed(at(20_016), "g"))
-	w.SetInstances(5, false, []model.Instance{{Name: "p", Group: "g"}}, nil)
+	w.SetInstances(5, false, []model.Instance{{Name: "p", Group: "g"}}, nil, at(0))
 	require.False(t, w.Forget(at(15), "p"), "it registered again")
 }
 
