A VM that is cut off leaves the rotation and sends idle sessions elsewhere

Cause: while a failure domain is cut off its callers still reach its VMs, which can serve next to nothing after two or three seconds: their leases end and positions get too old. The balancer uses the nearest failure domains once no VM of a failure domain is in rotation.

Ruled out: judging by the store alone (an outage would take all VMs out, though replicas are witnesses); by the failures that a VM saw (of 117 VMs most see none for seconds).

--- a/node/node.go
+++ b/node/node.go
@@ -74,6 +74,8 @@
 		follower *watch.Follower
 		register *peers.Register
 		stopping atomic.Bool
+		// cutOff tells that callers are served better elsewhere.
+		cutOff atomic.Bool
 
 		// settings are those in force, and body the file that they came from.
 		settings atomic.Pointer[platform.Settings]
@@ -139,6 +141,7 @@
 	go n.rates.Run(ctx)
 	go n.relay().Run(ctx)
 	go n.server.Refresh(ctx)
+	go n.watchReach(ctx)
 	go n.supervisor().Run(ctx)
 	go n.acceptEach(callers, func(conn net.Conn) { n.server.Serve(platform.NewCallerConn(conn)) })
 	return n.wait(ctx, callers)
--- a/node/ready.go
+++ b/node/ready.go
@@ -50,9 +50,10 @@
 	}
 }
 
-// ready tells whether the VM can serve callers: it is not stopping, knows the settings and can use some primary or knows where one is.
+// ready tells whether the VM can serve callers: it is not stopping or cut off, knows the settings and can use some primary or knows
+// where one is.
 func (n *Node) ready() bool {
-	if n.stopping.Load() {
+	if n.stopping.Load() || n.cutOff.Load() {
 		return false
 	}
 	s := n.world.State()
--- /dev/null
+++ b/policy/ages.go
@@ -0,0 +1,21 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/crocusshore/crocusshore/model"
+)
+
+// ReplicaAges returns the groups that replicas may serve with the shortest age that their routes allow.
+func (p *Policy) ReplicaAges() map[model.GroupName]time.Duration {
+	ages := map[model.GroupName]time.Duration{}
+	for _, route := range p.Routes {
+		if route.Consistency == ConsistencyPrimary {
+			continue
+		}
+		if age, known := ages[route.Group]; !known || route.MaxAge < age {
+			ages[route.Group] = route.MaxAge
+		}
+	}
+	return ages
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,19 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/model"
+)
+
+func TestReplicaAgesAreTheShortestOfEachGroup(t *testing.T) {
+	p := &Policy{Routes: map[string]Route{
+		"a": {Group: "g", Consistency: ConsistencyBounded, MaxAge: 1500 * time.Millisecond},
+		"b": {Group: "g", Consistency: ConsistencySession, MaxAge: 2500 * time.Millisecond},
+		"c": {Group: "h", Consistency: ConsistencyPrimary},
+	}}
+	require.Equal(t, map[model.GroupName]time.Duration{"g": 1500 * time.Millisecond}, p.ReplicaAges())
+}
--- a/serve/caller.go
+++ b/serve/caller.go
@@ -93,10 +93,10 @@
 	}
 }
 
-// next waits for a statement; while the process stops, a session outside a transaction gets only a short while.
+// next waits for a statement; a session that is to end, outside a transaction, gets only a short while.
 func (c *caller) next() (model.Command, error) {
 	command, err := c.conn.Next(c.deadline())
-	if err == nil || !isTimeout(err) || !c.server.draining.Load() {
+	if err == nil || !isTimeout(err) || !c.server.ending() {
 		return command, err
 	}
 	if c.session.State != model.TxNone && !c.expired.Load() {
@@ -113,7 +113,7 @@
 	switch {
 	case c.session.State != model.TxNone && idle > 0:
 		return time.Now().Add(idle)
-	case c.server.draining.Load():
+	case c.server.ending():
 		return time.Now().Add(lastWait)
 	default:
 		return time.Time{}
--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -9,7 +9,6 @@
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
-	"github.com/crocusshore/crocusshore/policy"
 	"github.com/crocusshore/crocusshore/retry"
 	"github.com/crocusshore/crocusshore/sample"
 	"github.com/crocusshore/crocusshore/tree"
@@ -38,7 +37,10 @@
 		s.config.Pool.Trim()
 		wanted, share := s.demand.wanted(now), refreshShare
 		if s.config.Reader() {
-			wanted, share = s.allowedAges(), readerShare
+			share = readerShare
+			if p := s.config.World.State().Policy; p != nil {
+				wanted = p.ReplicaAges()
+			}
 		}
 		for group, age := range wanted {
 			s.refresh(now, group, time.Duration(share*float64(age)))
@@ -46,24 +48,6 @@
 	}
 }
 
-// allowedAges returns the groups that replicas may serve with the shortest age that their routes allow.
-func (s *Server) allowedAges() map[model.GroupName]time.Duration {
-	ages := map[model.GroupName]time.Duration{}
-	p := s.config.World.State().Policy
-	if p == nil {
-		return ages
-	}
-	for _, route := range p.Routes {
-		if route.Consistency == policy.ConsistencyPrimary {
-			continue
-		}
-		if age, known := ages[route.Group]; !known || route.MaxAge < age {
-			ages[route.Group] = route.MaxAge
-		}
-	}
-	return ages
-}
-
 // refresh takes a sample where the last one is older than an age, unless one is being taken.
 func (s *Server) refresh(now time.Time, group model.GroupName, age time.Duration) {
 	lead := s.config.World.State().Leads[group]
--- a/serve/server.go
+++ b/serve/server.go
@@ -59,6 +59,8 @@
 		acked    *acked
 		demand   *demand
 		draining atomic.Bool
+		// moving tells that callers are served better by other VMs, so that idle sessions end.
+		moving atomic.Bool
 		// refreshing holds the groups that are being sampled.
 		refreshing sync.Map
 		// confirming is held while a confirmation is recorded, and shared by answers that are about to be acknowledged.
@@ -109,6 +111,17 @@
 	}
 }
 
+// Move ends sessions outside a transaction once they are idle, so that their callers come back through other VMs, or stops doing so.
+func (s *Server) Move(away bool) {
+	s.moving.Store(away)
+	if away {
+		s.interrupt(false)
+	}
+}
+
+// ending tells whether sessions end as soon as they are idle.
+func (s *Server) ending() bool { return s.draining.Load() || s.moving.Load() }
+
 func (s *Server) interrupt(transactions bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
