An instance that failed in a row gets one trial at a time, and homes tell other VMs at once

Cause: each VM found out by itself that an instance does not answer, with statements that waited for a limit of their own (400 ms for a new connection, half of the time left for an answer) at a home that knew already. With 117 VMs of some ten statements a second each, most of a cut of 5 s passes before a VM has found out; a statement that can't be served was refused only after that wait.

Change: after two failures without an answer in between an instance gets a statement every 200 ms, and the others go elsewhere or are refused at once. A home answers for an instance that it can't try; questions for the state of an instance are always asked, and end the spell.

Ruled out: a shorter limit for new connections (a busy instance takes a slot for each, 12 ms and more).

Tests in place and remote.

--- a/place/place_test.go
+++ b/place/place_test.go
@@ -75,3 +75,22 @@
 	track.Alive(now, "slow")
 	require.Zero(t, track.Health("slow").Failures)
 }
+
+// TestTryLeavesAFailingInstanceToOneTrialAtATime replays an instance that goes dark: each statement for it waited for a time limit of
+// its own, and held a connection meanwhile.
+func TestTryLeavesAFailingInstanceToOneTrialAtATime(t *testing.T) {
+	track := NewTrack()
+	now := time.Unix(100, 0)
+	track.Failed(now, "i")
+	require.True(t, track.Try(now, "i") && track.Try(now, "i"), "one failure may be the statement's")
+	track.Failed(now, "i")
+	trials := 0
+	for elapsed := time.Duration(0); elapsed < time.Second; elapsed += 5 * time.Millisecond {
+		if track.Try(now.Add(elapsed), "i") {
+			trials++
+		}
+	}
+	require.Equal(t, int(time.Second/trialPause)-1, trials, "the trial before the second failure counts")
+	track.Alive(now.Add(time.Second), "i")
+	require.True(t, track.Try(now.Add(time.Second), "i") && track.Try(now.Add(time.Second), "i"))
+}
--- a/place/track.go
+++ b/place/track.go
@@ -14,6 +14,10 @@
 	failedTime = 2 * time.Second
 	// forgetTime is how long a slowness counts without new latencies.
 	forgetTime = 3 * time.Second
+	// failuresInARow without an answer in between leave an instance to one trial at a time.
+	failuresInARow = 2
+	// trialPause is the pause between trials of such an instance; one finds it back long before callers give up.
+	trialPause = 200 * time.Millisecond
 )
 
 type (
@@ -31,6 +35,7 @@
 		failures   int
 		failingAt  time.Time
 		answeredAt time.Time
+		triedAt    time.Time
 	}
 
 	// Health is what this VM saw of one instance.
@@ -85,6 +90,19 @@
 	}
 }
 
+// Try tells whether a statement may be tried on an instance. One that failed in a row gets a trial now and then, and what comes in
+// between need not wait to fail too.
+func (t *Track) Try(now time.Time, instance model.InstanceName) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.of(instance)
+	if s.failures >= failuresInARow && now.Sub(s.triedAt) < trialPause {
+		return false
+	}
+	s.triedAt = now
+	return true
+}
+
 // Health returns what was seen of an instance.
 func (t *Track) Health(instance model.InstanceName) Health {
 	t.mu.Lock()
--- a/remote/host_test.go
+++ b/remote/host_test.go
@@ -34,6 +34,7 @@
 	instance model.Instance
 	leased   bool
 	using    int
+	failing  bool
 	failures []error
 }
 
@@ -41,6 +42,18 @@
 	return h.instance, name == h.instance.Name
 }
 
+func (h *host) Try(time.Time, model.InstanceName) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.failing
+}
+
+func (h *host) setFailing(failing bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failing = failing
+}
+
 func (h *host) Use(time.Time, model.Instance, model.Term) (func(), bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/remote/server.go
+++ b/remote/server.go
@@ -19,6 +19,8 @@
 	Host interface {
 		// Instance returns an instance that the VM knows.
 		Instance(name model.InstanceName) (model.Instance, bool)
+		// Try tells whether a statement may be tried on an instance now, which may have failed lately.
+		Try(now time.Time, instance model.InstanceName) bool
 		// Use tells whether an instance may be used as the primary of a term now; if so, done ends the use.
 		Use(now time.Time, instance model.Instance, term model.Term) (done func(), ok bool)
 		// Answered records the answer of an instance to a statement sent at an instant.
@@ -114,6 +116,9 @@
 	if !known {
 		return Answer{Failure: FailureUnknown, Detail: "the instance is not known to the VM with the connection"}
 	}
+	if s.held == nil && !r.Status && !s.config.Host.Try(now, instance.Name) {
+		return Answer{Failure: FailureUnreachable, Detail: "the instance failed lately"}
+	}
 	conn, err := s.connection(now, instance, r)
 	if err != nil {
 		s.config.Host.Failed(instance.Name, err)
--- a/serve/host.go
+++ b/serve/host.go
@@ -14,6 +14,11 @@
 	return instance, known
 }
 
+// Try tells whether a statement of another VM may be tried on an instance now.
+func (s *Server) Try(now time.Time, instance model.InstanceName) bool {
+	return s.config.Track.Try(now, instance)
+}
+
 // Use tells whether this VM may use an instance as the primary of a term for a statement of another VM; if so, a switch of the
 // primary waits until done is called.
 func (s *Server) Use(now time.Time, instance model.Instance, term model.Term) (done func(), ok bool) {
--- a/serve/pick.go
+++ b/serve/pick.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/place"
@@ -57,8 +59,14 @@
 	return choices
 }
 
+// errFailing reports an instance that failed in a row and has its next trial later; nothing was sent.
+var errFailing = errors.New("the instance failed lately")
+
 // get takes a connection of the team to the chosen instance.
 func (c *caller) get(now time.Time, op operation, to choice) (model.Connection, error) {
+	if !c.server.config.Track.Try(now, to.instance.Name) {
+		return nil, errFailing
+	}
 	request := conns.Request{
 		Instance: to.instance, Team: op.team, Values: c.session.Values, Class: class(op.route.Priority), Deadline: now.Add(op.patience()),
 	}
--- a/serve/read.go
+++ b/serve/read.go
@@ -133,7 +133,7 @@
 // failed records an instance that could not be reached or did not answer; a full pool says nothing of the instance, nor does a VM
 // that holds the connection and is silent.
 func (s *Server) failed(instance model.InstanceName, err error) {
-	if errors.IsAny(err, conns.ErrBusy, errLease, remote.ErrLease, remote.ErrHome) {
+	if errors.IsAny(err, conns.ErrBusy, errFailing, errLease, remote.ErrLease, remote.ErrHome) {
 		return
 	}
 	if refused, ok := model.Refused(err); ok && refused.Fault != model.FaultMisdirected {
