VMs pass on the rows that changed instead of whole tables

Cause: a reader answered each change of a row with all rows of the table, to each VM of its failure domain. With 137 VMs that is some 40 KB to each of 46 VMs, over a second of a link of 10 Mbit/s; the VMs' copies got older than 1.1 s, and each of them read the store itself.

Change: a copy of a table remembers removed rows and since when it knows of all, and a VM gets the rows that changed after the version that it has; one that is older than that gets them all.

Tests: 50 random chains of copies end equal.

--- a/watch/copy.go
+++ b/watch/copy.go
@@ -13,7 +13,7 @@
 		Table   model.TableName
 		Version int64
 		Rows    []model.StoredRow
-		// Whole tells that Rows are all rows; otherwise nothing changed and there are none.
+		// Whole tells that Rows are all rows; otherwise they are those that changed after the version that was asked for.
 		Whole bool
 		// Age is how long ago the copy was known to be current.
 		Age time.Duration
@@ -26,10 +26,16 @@
 		// changed is the version at which rows last changed, as far as is known.
 		changed int64
 		rows    map[string]model.StoredRow
-		at      time.Time
+		// removed holds the rows that were removed after removedSince.
+		removed      map[string]model.StoredRow
+		removedSince int64
+		at           time.Time
 	}
 )
 
+// keepRemoved bounds the removed rows that are remembered; a copy that is older than they reach is sent whole.
+const keepRemoved = 500
+
 // merge applies a page and returns whether it was new.
 func (t *tableCopy) merge(page model.RowsPage, whole bool, at time.Time) bool {
 	t.mu.Lock()
@@ -39,14 +45,20 @@
 	}
 	if whole || t.rows == nil {
 		t.rows = make(map[string]model.StoredRow, len(page.Rows))
+		t.removed, t.removedSince = map[string]model.StoredRow{}, page.Version
 	}
 	for _, r := range page.Rows {
 		if r.Removed {
 			delete(t.rows, r.Key)
+			t.removed[r.Key] = r
 		} else {
+			delete(t.removed, r.Key)
 			t.rows[r.Key] = r
 		}
 	}
+	if len(t.removed) > keepRemoved {
+		t.removed, t.removedSince = map[string]model.StoredRow{}, page.Version
+	}
 	if whole || len(page.Rows) > 0 {
 		t.changed = page.Version
 	}
@@ -57,17 +69,27 @@
 	return true
 }
 
-// since returns the copy, with all rows where they changed after a version.
+// since returns the copy with the rows that changed after a version, or all of them where a removal may be forgotten.
 func (t *tableCopy) since(now time.Time, table model.TableName, version int64) Copy {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := Copy{Table: table, Version: t.version, Age: now.Sub(t.at), Whole: t.changed > version}
-	if !c.Whole {
+	c := Copy{Table: table, Version: t.version, Age: now.Sub(t.at)}
+	if t.changed <= version {
 		return c
 	}
-	c.Rows = make([]model.StoredRow, 0, len(t.rows))
+	c.Whole = version < t.removedSince
 	for _, r := range t.rows {
-		c.Rows = append(c.Rows, r)
+		if c.Whole || r.Version > version {
+			c.Rows = append(c.Rows, r)
+		}
+	}
+	if c.Whole {
+		return c
+	}
+	for _, r := range t.removed {
+		if r.Version > version {
+			c.Rows = append(c.Rows, r)
+		}
 	}
 	return c
 }
