Only the reader and two VMs on standby ask a store that turns VMs away

Cause: while a failure domain is cut off, or its reader is turned away, every VM of it asked the store for three tables by itself once its copies were older than 1.1 s, and again after each pause of at most 0.8 s.

Change: a VM's part in reading is a duty by rank: the reader, two on standby that ask the store when copies are old, and all others, which ask 400 ms later and pause up to 3 s. By then the others have passed the reader over and get the copies of a VM on standby. A reader is passed over for 10 s instead of 4 s.

--- a/node/node.go
+++ b/node/node.go
@@ -99,7 +99,7 @@
 	n.server = serve.New(serve.Config{
 		Domain: s.Domain, World: n.world, Pool: n.pool, Source: source, Samples: n.samples, Track: n.track, Limiter: n.rates,
 		Phrases: platform.Phrases{}, Log: config.Log, Metrics: config.Scope, RetryDetail: platform.RetryDetail,
-		Reader: func() bool { return !n.follower.IsRelayed() },
+		Reader: func() bool { return n.follower.Duty() == watch.DutyReader },
 	})
 	n.lender = remote.NewServer(remote.ServerConfig{Pool: n.pool, Host: n.server, Log: config.Log})
 	n.follower = watch.New(watch.Config{
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -89,21 +89,21 @@
 	}
 	readers := 0
 	for _, r := range order {
-		if _, relayed := r.reader(now); !relayed {
+		if _, duty := r.reader(now); duty == watch.DutyReader {
 			readers++
 		}
 	}
 	require.Equal(t, 1, readers, "one VM of a failure domain reads the store")
 	for name, r := range order {
-		first, relayed := r.reader(now)
-		if !relayed {
+		first, duty := r.reader(now)
+		if duty == watch.DutyReader {
 			continue
 		}
 		r.pass(now, true)
-		second, relayed := r.reader(now)
-		require.True(t, !relayed || second.Name != first.Name, "%s goes on to the next", name)
-		again, relayed := r.reader(now.Add(passTime + time.Second))
-		require.True(t, relayed)
+		second, duty := r.reader(now)
+		require.True(t, duty == watch.DutyReader || second.Name != first.Name, "%s goes on to the next", name)
+		again, duty := r.reader(now.Add(passTime + time.Second))
+		require.NotEqual(t, watch.DutyReader, duty)
 		require.Equal(t, first.Name, again.Name, "the first is tried again later")
 	}
 }
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -29,7 +29,7 @@
 	// driftShare is how much faster than ours a peer's clock may run.
 	driftShare = 0.002
 	// passTime is how long a reader that did not keep the copies current is passed over.
-	passTime = 4 * time.Second
+	passTime = 10 * time.Second
 )
 
 // Relay gets the tables of the store from another VM: all the time from the reader of the own failure domain, and from any VM
@@ -45,7 +45,7 @@
 	Client   *Client
 	Log      *log.Logger
 
-	reading bool
+	duty watch.Duty
 	// passed counts the VMs that rank before the reader and did not keep the copies current since passedAt.
 	passed   int
 	passedAt time.Time
@@ -53,11 +53,12 @@
 
 // Run asks until the context ends.
 func (r *Relay) Run(ctx context.Context) {
-	r.reading = true
+	r.duty = watch.DutyReader
 	for turn := 0; ctx.Err() == nil; turn++ {
 		now := clock.Now()
-		reader, ok := r.reader(now)
-		r.setReading(!ok)
+		reader, duty := r.reader(now)
+		r.setDuty(duty)
+		ok := duty != watch.DutyReader
 		switch {
 		case ok && !r.stale():
 			if !r.ask(ctx, reader.Peers, relayWait) {
@@ -73,17 +74,17 @@
 	}
 }
 
-// setReading notes whether this VM reads the store for its failure domain.
-func (r *Relay) setReading(reading bool) {
-	if reading != r.reading {
-		r.reading = reading
-		r.Log.Info("reading of the store", "self", reading)
+// setDuty notes which part this VM has in reading the store for its failure domain.
+func (r *Relay) setDuty(duty watch.Duty) {
+	if duty != r.duty {
+		r.duty = duty
+		r.Log.Info("reading of the store", "duty", duty, "passed", r.passed)
 	}
-	r.Follower.Relayed(!reading)
+	r.Follower.SetDuty(duty)
 }
 
-// reader returns the VM that reads the store for this one; false means that this VM reads it itself.
-func (r *Relay) reader(now time.Time) (world.VM, bool) {
+// reader returns the VM that reads the store for this one, and this VM's own duty; a reader asks nobody.
+func (r *Relay) reader(now time.Time) (world.VM, watch.Duty) {
 	if now.Sub(r.passedAt) > passTime {
 		r.passed = 0
 	}
@@ -96,10 +97,11 @@
 	}
 	ranked := fleet.Rank("reader", near)
 	rank, registered := fleet.Index(r.Self, ranked)
-	if !registered || rank == r.passed%len(ranked) {
-		return world.VM{}, false
+	if !registered {
+		return world.VM{}, watch.DutyReader
 	}
-	return state.VMs[ranked[r.passed%len(ranked)].ID], true
+	at := r.passed % len(ranked)
+	return state.VMs[ranked[at].ID], watch.DutyAt(rank, at)
 }
 
 // pass goes on to the next VM where the reader, which the store may turn away, does not keep the copies current.
--- /dev/null
+++ b/watch/duty_test.go
@@ -0,0 +1,24 @@
+package watch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestFewVMsAskAStoreThatTurnsTheReaderAway replays a failure domain of 45 VMs that is cut off, or whose reader is turned away: every VM
+// asked the store for three tables again and again.
+func TestFewVMsAskAStoreThatTurnsTheReaderAway(t *testing.T) {
+	const vms = 45
+	for _, reader := range []int{0, 1, 5} {
+		counts := map[Duty]int{}
+		for rank := range vms {
+			counts[DutyAt(rank, reader)]++
+		}
+		require.Equal(t, 1, counts[DutyReader])
+		require.Equal(t, reader+standbys, counts[DutyStandby], "those that were passed over, and those that come next")
+	}
+	require.Greater(t, DutyServed.age(rowsAge), DutyStandby.age(rowsAge))
+	require.GreaterOrEqual(t, DutyServed.backoff().Most, 3*time.Second)
+}
--- a/watch/follower.go
+++ b/watch/follower.go
@@ -25,6 +25,8 @@
 	// three seconds after they were accepted, also where the reader of the failure domain is turned away without an answer.
 	settingsAge = 2000 * time.Millisecond
 	rowsAge     = 1100 * time.Millisecond
+	// servedExtra is how much older the copies of a VM may be that is served by others, since those on standby read the store first.
+	servedExtra = 400 * time.Millisecond
 	// coveredPause is how often a table that peers keep current is looked at.
 	coveredPause = 100 * time.Millisecond
 	// bootTime is how long after the start of a VM others that start at the same time register, and bootPause the pause after a
@@ -36,8 +38,11 @@
 	lapseGrace = 2300 * time.Millisecond
 )
 
-// backoff is the pause between calls that a store refused.
-var backoff = retry.Backoff{Base: 150 * time.Millisecond, Most: 800 * time.Millisecond}
+var (
+	// backoff is the pause between calls that a store refused, and servedBackoff that of a VM whose tables others read.
+	backoff       = retry.Backoff{Base: 150 * time.Millisecond, Most: 800 * time.Millisecond}
+	servedBackoff = retry.Backoff{Base: 600 * time.Millisecond, Most: 3 * time.Second}
+)
 
 type (
 	// Config names what is followed and where it goes.
@@ -61,8 +66,8 @@
 		copies map[model.TableName]*tableCopy
 		// away counts the tables whose store cannot be reached.
 		away atomic.Int32
-		// relayed tells that peers keep the copies current.
-		relayed atomic.Bool
+		// duty is this VM's part in reading the store for its failure domain.
+		duty atomic.Pointer[Duty]
 
 		mu sync.Mutex
 		// changed is closed and replaced whenever a table becomes newer.
@@ -73,6 +78,7 @@
 // New returns a follower that knows nothing yet.
 func New(config Config) *Follower {
 	f := &Follower{config: config, copies: map[model.TableName]*tableCopy{}, changed: make(chan struct{})}
+	f.SetDuty(DutyReader)
 	for _, table := range f.tables() {
 		f.copies[table] = &tableCopy{}
 	}
@@ -101,7 +107,8 @@
 	startedAt := clock.Now()
 	for ctx.Err() == nil {
 		sentAt := clock.Now()
-		if f.relayed.Load() && f.copies[table].youngerThan(sentAt, age) {
+		duty := f.Duty()
+		if duty != DutyReader && f.copies[table].youngerThan(sentAt, duty.age(age)) {
 			failures = f.found(table, failures)
 			retry.Sleep(ctx, coveredPause)
 			continue
@@ -115,7 +122,7 @@
 		if err != nil {
 			f.lost(table, failures, err)
 			failures++
-			retry.Sleep(ctx, backoff.Delay(failures-1, rand.Float64()))
+			retry.Sleep(ctx, duty.backoff().Delay(failures-1, rand.Float64()))
 			continue
 		}
 		failures = f.found(table, failures)
@@ -153,11 +160,11 @@
 	return rows.Feed(ctx, table, version, wait)
 }
 
-// Relayed tells whether peers are asked for the tables, so that the store is asked only for what they do not keep current.
-func (f *Follower) Relayed(relayed bool) { f.relayed.Store(relayed) }
+// SetDuty sets this VM's part in reading the store for its failure domain.
+func (f *Follower) SetDuty(duty Duty) { f.duty.Store(&duty) }
 
-// IsRelayed tells whether peers are asked for the tables.
-func (f *Follower) IsRelayed() bool { return f.relayed.Load() }
+// Duty returns this VM's part in reading the store for its failure domain.
+func (f *Follower) Duty() Duty { return *f.duty.Load() }
 
 // Away tells whether a table cannot be read at the store now.
 func (f *Follower) Away() bool { return f.away.Load() > 0 }
--- a/watch/follower_test.go
+++ b/watch/follower_test.go
@@ -66,7 +66,7 @@
 	start(t, reader)
 	start(t, follower)
 	require.Eventually(t, func() bool { return version(w) == 1 && reader.Versions()[settingsTable] > 0 }, time.Second, time.Millisecond)
-	follower.Relayed(true)
+	follower.SetDuty(DutyServed)
 	stop := relay(reader, follower)
 	defer stop()
 	// The follower's own questions from before have to end first.
