A connection makes room for another team also while an instance takes no more

Cause: after a loss of power instances count the connections of the dead processes for three seconds and refuse most new ones.

Change: during the pause a connection that is idle makes room for one of the team that waits; the instance counts no more than before.

Ruled out: fewer connections in the calm, which cost a new connection for each change of team (a slot for 12 ms).

Test: the team that waits is served at once; failed before.

--- a/conns/bucket.go
+++ b/conns/bucket.go
@@ -21,13 +21,11 @@
 		c.link.Close()
 		b.open--
 	}
-	if now.Before(b.pausedTil) {
-		return grant{}, false
-	}
-	if b.open < budget {
+	if b.open < budget && !now.Before(b.pausedTil) {
 		b.open++
 		return grant{}, true
 	}
+	// Also while an instance takes no more connections, one can take the place of another.
 	if len(b.idle) == 0 {
 		return grant{}, false
 	}
