A fault soak: daemons as processes, faults from outside, promises checked from what callers and instances see

Change: crocusshore soak starts the daemons as processes before stand-ins that speak the platform's protocols, with proxies on the ways to the store and to each instance, and injects signals, link, store and instance faults in overlapping series.

Trace: two VMs had released the old primary with statements under way, which it acknowledged later because of a replica that did not answer the VM with the duty; their callers were told that the outcome is open (INDOUBT), which promises nothing.

--- a/commands/run.go
+++ b/commands/run.go
@@ -42,6 +42,7 @@
 			node.Command(),
 			standinCommand(),
 			demoCommand(),
+			soakCommand(),
 			settingsCommand(),
 			keysCommand(),
 			teamsCommand(),
--- /dev/null
+++ b/commands/soak.go
@@ -0,0 +1,86 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/crocusshore/crocusshore/soak"
+)
+
+var errBroken = errors.New("promises were broken")
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run daemons as processes, inject faults from outside and check the promises",
+		Description: example("Runs one seed after another; logs and settings of a seed that broke a promise are kept.",
+			"crocusshore soak --program target/daemon --seed 1 --seeds 50"),
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "program", Usage: "the daemon", Value: "target/daemon"},
+			&cli.Uint64Flag{Name: "seed", Usage: "the first seed", Value: 1},
+			&cli.IntFlag{Name: "seeds", Usage: "how many seeds to run", Value: 1},
+			&cli.IntFlag{Name: "vms", Usage: "how many daemons", Value: 6},
+			&cli.IntFlag{Name: "groups", Usage: "how many database groups", Value: 2},
+			&cli.IntFlag{Name: "sessions", Usage: "how many callers at a time", Value: 24},
+			&cli.DurationFlag{Name: "for", Usage: "how long faults are injected", Value: 15 * time.Second},
+			&cli.StringFlag{Name: "dir", Usage: "where logs and settings go; empty is the system's place for temporary files"},
+			&cli.StringFlag{Name: "log", Usage: "log level of the soak", Value: "error"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, c *cli.Command) error {
+	broken := 0
+	for n := range c.Int("seeds") {
+		seed := c.Uint64("seed") + uint64(n)
+		kept, err := soakSeed(ctx, c, seed)
+		if err != nil {
+			return err
+		}
+		if !kept {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Wrapf(errBroken, "by %d of %d seeds", broken, c.Int("seeds"))
+	}
+	return nil
+}
+
+// soakSeed plays a seed and tells whether all promises were kept.
+func soakSeed(ctx context.Context, c *cli.Command, seed uint64) (bool, error) {
+	logger, err := newLogger(c.String("log"))
+	if err != nil {
+		return false, err
+	}
+	dir, err := soak.MakeDir(c.String("dir"), seed)
+	if err != nil {
+		return false, err
+	}
+	report, err := soak.Run(ctx, soak.Config{
+		Program: c.String("program"), Dir: dir, Seed: seed, VMs: c.Int("vms"), Groups: c.Int("groups"), Sessions: c.Int("sessions"),
+		For: c.Duration("for"), Log: logger,
+	})
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("seed %d: %d faults, %d acknowledged, %d refused, %d open, %d breaches\n",
+		seed, len(report.Faults), report.Acknowledged, report.Refused, report.Open, len(report.Breaches))
+	if len(report.Breaches) == 0 {
+		return true, os.RemoveAll(dir)
+	}
+	for _, f := range report.Faults {
+		fmt.Println("  ", f)
+	}
+	for _, b := range report.Breaches {
+		fmt.Println("  broken:", b)
+	}
+	fmt.Println("  logs:", dir)
+	return false, nil
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,32 @@
+package soak
+
+import (
+	"io"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+)
+
+// build returns the daemon as a program.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "daemon")
+	output, err := exec.Command("go", "build", "-o", program, "github.com/crocusshore/crocusshore/daemon").CombinedOutput()
+	require.NoError(t, err, "%s", output)
+	return program
+}
+
+func TestShortRunKeepsThePromises(t *testing.T) {
+	program := build(t)
+	report, err := Run(t.Context(), Config{
+		Program: program, Dir: t.TempDir(), Seed: 1, VMs: 4, Groups: 1, Sessions: 12, For: 6 * time.Second, Log: log.New(io.Discard),
+	})
+	require.NoError(t, err)
+	t.Logf("%d acknowledged, %d refused, %d open; faults %q", report.Acknowledged, report.Refused, report.Open, report.Faults)
+	require.Empty(t, report.Breaches)
+	require.Positive(t, report.Acknowledged)
+}
--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -33,6 +33,8 @@
 		fence     int64
 		acked     map[model.RequestID]model.Mark
 		breaches  []string
+		// lost are commits that an instance acknowledged and that a promotion cut off.
+		lost []model.RequestID
 		// changed is called when an instance sees itself in another role.
 		changed func(model.Instance)
 	}
@@ -97,11 +99,29 @@
 
 // Breaches returns the promises that were broken.
 func (c *Cluster) Breaches() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := append([]string(nil), c.breaches...)
+	for _, id := range c.lost {
+		all = append(all, "the acknowledged commit of "+string(id)+" is not in the log of the promoted instance")
+	}
+	return all
+}
+
+// OrderBreaches returns the orders for new primaries that came out of turn.
+func (c *Cluster) OrderBreaches() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return append([]string(nil), c.breaches...)
 }
 
+// Lost returns the commits that an instance acknowledged and that a promotion cut off.
+func (c *Cluster) Lost() []model.RequestID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]model.RequestID(nil), c.lost...)
+}
+
 // MostConnections returns how many connections an instance ever had at once.
 func (c *Cluster) MostConnections(name model.InstanceName) int {
 	c.mu.Lock()
@@ -221,7 +241,7 @@
 	old := c.primary()
 	for id, mark := range c.acked {
 		if target.end().Before(mark) {
-			c.breaches = append(c.breaches, "the acknowledged commit of "+string(id)+" is not in the log of the promoted instance")
+			c.lost = append(c.lost, id)
 		}
 	}
 	target.term, target.instance.Role, target.held = term+1, model.RolePrimary, 0
