Homes tell their failure domain of instances that are slow or fail

Cause: of 117 VMs one sends an instance a statement or two a second, so that it neither learns that the instance is slow or fails before the spell is over nor that it is back, while the two homes of its failure domain see twenty a second. Latency at a home was not recorded at all.

Change: a home measures the statements that it runs for others. What it saw do worse than usual (slowness from 1.5, or two failures in a row) goes to the reader with the next question for copies and from there to all VMs of the failure domain; it counts for 1.5 s. Latencies with a wait for another VM's connection in them are not told. A VM logs the first news of an instance.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -43,6 +43,8 @@
 		Deadline time.Time
 		// AnyTeam takes an idle connection of whatever team, for orders to the instance.
 		AnyTeam bool
+		// Route is what the connection is used for; it is empty for orders and questions.
+		Route model.RouteName
 		// Term is set where the instance is used as the primary of that term.
 		Term model.Term
 	}
--- a/model/link.go
+++ b/model/link.go
@@ -33,6 +33,8 @@
 		Text string
 		// Since is the position that the instance must have received; the zero mark asks for none.
 		Since Mark
+		// Work tells that the statement reads or writes, so that its latency says how the instance does.
+		Work bool
 	}
 
 	// Reply is the whole answer to one statement.
--- a/node/local.go
+++ b/node/local.go
@@ -19,9 +19,12 @@
 
 // Copies returns what this VM knows of the store's tables and of the positions of primaries.
 func (n *Node) Copies(request peers.CopiesRequest) peers.CopiesReply {
+	for _, c := range request.Conditions {
+		n.track.Hear(clock.Now(), c)
+	}
 	waited := n.follower.Await(request.Versions, min(request.Wait, mostHeldBack))
 	now := clock.Now()
-	reply := peers.CopiesReply{Copies: n.follower.Copies(now, request.Versions), Waited: waited}
+	reply := peers.CopiesReply{Copies: n.follower.Copies(now, request.Versions), Waited: waited, Conditions: n.track.Knows(now)}
 	for _, group := range n.world.State().Groups() {
 		if last, known := n.samples.Last(group); known && now.Sub(last.At) < oldestSample {
 			reply.Samples = append(reply.Samples, peers.Sample{Group: group, Mark: last.Mark, Age: now.Sub(last.At)})
--- a/node/node.go
+++ b/node/node.go
@@ -149,7 +149,7 @@
 
 func (n *Node) relay() *peers.Relay {
 	s := n.config.Settings
-	return &peers.Relay{Self: s.VM, Domain: s.Domain, Seeds: func() []netip.AddrPort { return n.settings.Load().Seeds }, World: n.world, Follower: n.follower, Samples: n.samples, Client: peers.NewClient(), Log: n.config.Log}
+	return &peers.Relay{Self: s.VM, Domain: s.Domain, Seeds: func() []netip.AddrPort { return n.settings.Load().Seeds }, World: n.world, Follower: n.follower, Samples: n.samples, Track: n.track, Client: peers.NewClient(), Log: n.config.Log}
 }
 
 func (n *Node) supervisor() *orders.Supervisor {
--- a/peers/message.go
+++ b/peers/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocusshore/crocusshore/elect"
 	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/place"
 	"github.com/crocusshore/crocusshore/watch"
 )
 
@@ -20,6 +21,8 @@
 		Versions map[model.TableName]int64
 		// Wait is how long the answer may be held back while nothing is newer.
 		Wait time.Duration
+		// Conditions are the instances that the asking VM saw do worse than usual.
+		Conditions []place.Condition `json:",omitempty"`
 	}
 
 	// CopiesReply holds the tables; one that is not newer comes without rows.
@@ -29,6 +32,8 @@
 		Waited time.Duration
 		// Samples are positions of primaries.
 		Samples []Sample
+		// Conditions are the instances that the VMs of the failure domain saw do worse than usual.
+		Conditions []place.Condition `json:",omitempty"`
 	}
 
 	// Sample is a position of the primary of a group, as old as Age when the answer was given.
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -11,6 +11,7 @@
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/fleet"
 	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/place"
 	"github.com/crocusshore/crocusshore/retry"
 	"github.com/crocusshore/crocusshore/sample"
 	"github.com/crocusshore/crocusshore/watch"
@@ -42,6 +43,7 @@
 	World    *world.World
 	Follower *watch.Follower
 	Samples  *sample.Samples
+	Track    *place.Track
 	Client   *Client
 	Log      *log.Logger
 
@@ -161,7 +163,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+relayTimeout)
 	defer cancel()
 	sentAt := clock.Now()
-	reply, err := r.Client.Copies(ctx, peer, CopiesRequest{Versions: r.Follower.Versions(), Wait: wait})
+	reply, err := r.Client.Copies(ctx, peer, CopiesRequest{Versions: r.Follower.Versions(), Wait: wait, Conditions: r.Track.Saw(sentAt)})
 	if err != nil {
 		r.Log.Debug("peer did not answer", "peer", peer, "error", err)
 		return false
@@ -175,5 +177,10 @@
 	for _, s := range reply.Samples {
 		r.Samples.Add(s.Group, sample.Sample{At: answeredAt.Add(-s.Age), Mark: s.Mark})
 	}
+	for _, c := range reply.Conditions {
+		if r.Track.Hear(answeredAt, c) {
+			r.Log.Info("instance does worse than usual", "instance", c.Instance, "slowness", c.Slowness, "failing", c.Failing, "age", c.Age, "told-by", peer)
+		}
+	}
 	return true
 }
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -60,10 +60,10 @@
 	track := NewTrack()
 	now := time.Unix(100, 0)
 	for range 50 {
-		track.Answered(now, "r", "fast", 10*time.Millisecond)
+		track.Answered(now, Latency{Route: "r", Took: 10 * time.Millisecond, Direct: true}, "fast")
 	}
 	for range 20 {
-		track.Answered(now, "r", "slow", 100*time.Millisecond)
+		track.Answered(now, Latency{Route: "r", Took: 100 * time.Millisecond, Direct: true}, "slow")
 	}
 	slow := candidate("slow", nil)
 	require.Greater(t, track.Judge(now, slow).Slowness, 1.5)
--- a/place/track.go
+++ b/place/track.go
@@ -21,7 +21,7 @@
 )
 
 type (
-	// Track keeps what this VM saw of the instances; it is safe for concurrent use.
+	// Track keeps what this VM saw of the instances and heard of them; it is safe for concurrent use.
 	Track struct {
 		mu        sync.Mutex
 		usual     map[model.RouteName]float64
@@ -36,6 +36,19 @@
 		failingAt  time.Time
 		answeredAt time.Time
 		triedAt    time.Time
+		// answers counts the direct latencies since the slowness was last forgotten.
+		answers int
+		// heard is what another VM told at heardAt.
+		heard   Condition
+		heardAt time.Time
+	}
+
+	// Latency is how long a statement of a route took.
+	Latency struct {
+		Route model.RouteName
+		Took  time.Duration
+		// Direct tells that it was measured by the VM with the connection, so that no wait for one is in it.
+		Direct bool
 	}
 
 	// Health is what this VM saw of one instance.
@@ -52,20 +65,24 @@
 	return &Track{usual: map[model.RouteName]float64{}, instances: map[model.InstanceName]*seen{}}
 }
 
-// Answered records a statement of a route that an instance answered after a latency.
-func (t *Track) Answered(now time.Time, route model.RouteName, instance model.InstanceName, latency time.Duration) {
+// Answered records a statement that an instance answered after a latency.
+func (t *Track) Answered(now time.Time, l Latency, instance model.InstanceName) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.of(instance)
 	s.alive(now)
-	usual := t.usual[route]
+	took := l.Took.Seconds()
+	usual := t.usual[l.Route]
 	if usual == 0 {
-		usual = latency.Seconds()
+		usual = took
 	}
-	t.usual[route] = usual + smoothing*(latency.Seconds()-usual)
-	ratio := min(latency.Seconds()/max(usual, 1e-6), 10)
+	t.usual[l.Route] = usual + smoothing*(took-usual)
+	ratio := min(took/max(usual, 1e-6), 10)
 	if s.slowness == 0 || now.Sub(s.observedAt) > forgetTime {
-		s.slowness = 1
+		s.slowness, s.answers = 1, 0
+	}
+	if l.Direct {
+		s.answers++
 	}
 	s.slowness += smoothing * (ratio - s.slowness)
 	s.observedAt = now
@@ -121,6 +138,10 @@
 		c.Slowness = s.slowness
 	}
 	c.Failed = !s.failedAt.IsZero() && now.Sub(s.failedAt) < failedTime
+	if now.Sub(s.heardAt) < conditionTime {
+		c.Slowness = max(c.Slowness, s.heard.Slowness)
+		c.Failed = c.Failed || (s.heard.Failing && s.answeredAt.Before(s.heardAt))
+	}
 	return c
 }
 
--- a/remote/conn.go
+++ b/remote/conn.go
@@ -110,7 +110,7 @@
 
 func (c *Conn) step(deadline time.Time, r Request) (Answer, error) {
 	now := clock.Now()
-	r.Instance, r.Team, r.Class, r.Term = c.request.Instance.Name, c.request.Team, c.request.Class, c.request.Term
+	r.Instance, r.Team, r.Class, r.Term, r.Route = c.request.Instance.Name, c.request.Team, c.request.Class, c.request.Term, c.request.Route
 	r.Limit = deadline.Sub(now)
 	r.Wait = min(c.request.Deadline.Sub(now), r.Limit)
 	if r.Limit <= 0 {
--- a/remote/host_test.go
+++ b/remote/host_test.go
@@ -68,7 +68,7 @@
 	}, true
 }
 
-func (h *host) Answered(time.Time, model.Instance, model.Term, model.Reply) {}
+func (h *host) Answered(time.Time, model.Instance, Request, model.Reply) {}
 
 func (h *host) Failed(_ model.InstanceName, err error) {
 	h.mu.Lock()
--- a/remote/message.go
+++ b/remote/message.go
@@ -13,6 +13,7 @@
 		Instance model.InstanceName
 		Team     model.TeamName
 		Class    tree.Class
+		Route    model.RouteName
 		// Term is set where the instance is used as the primary of that term.
 		Term model.Term
 		// Wait bounds the wait for a connection, and Limit the whole step.
--- a/remote/server.go
+++ b/remote/server.go
@@ -23,8 +23,8 @@
 		Try(now time.Time, instance model.InstanceName) bool
 		// Use tells whether an instance may be used as the primary of a term now; if so, done ends the use.
 		Use(now time.Time, instance model.Instance, term model.Term) (done func(), ok bool)
-		// Answered records the answer of an instance to a statement sent at an instant.
-		Answered(sentAt time.Time, instance model.Instance, term model.Term, reply model.Reply)
+		// Answered records the answer of an instance to a request whose statement was sent at an instant.
+		Answered(sentAt time.Time, instance model.Instance, r Request, reply model.Reply)
 		// Failed records an instance that could not be reached or did not answer.
 		Failed(instance model.InstanceName, err error)
 	}
@@ -186,7 +186,7 @@
 		s.config.Host.Failed(instance.Name, err)
 		return Answer{Failure: FailureNoAnswer, Detail: err.Error()}
 	}
-	s.config.Host.Answered(sentAt, instance, r.Term, reply)
+	s.config.Host.Answered(sentAt, instance, r, reply)
 	return Answer{Reply: reply}
 }
 
--- a/serve/host.go
+++ b/serve/host.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/remote"
 	"github.com/crocusshore/crocusshore/world"
 )
 
@@ -32,10 +32,10 @@
 }
 
 // Answered records the answer of an instance to a statement of another VM.
-func (s *Server) Answered(sentAt time.Time, instance model.Instance, term model.Term, reply model.Reply) {
-	s.config.Track.Alive(clock.Now(), instance.Name)
-	if term > 0 {
-		s.sampled(sentAt, instance.Group, term, reply)
+func (s *Server) Answered(sentAt time.Time, instance model.Instance, r remote.Request, reply model.Reply) {
+	s.tracked(sentAt, instance.Name, work{route: r.Route, measured: r.Query.Work, direct: true}, reply)
+	if r.Term > 0 {
+		s.sampled(sentAt, instance.Group, r.Term, reply)
 	}
 }
 
--- a/serve/pick.go
+++ b/serve/pick.go
@@ -68,7 +68,7 @@
 		return nil, errFailing
 	}
 	request := conns.Request{
-		Instance: to.instance, Team: op.team, Values: c.session.Values, Class: class(op.route.Priority), Deadline: now.Add(op.patience()),
+		Instance: to.instance, Team: op.team, Values: c.session.Values, Class: class(op.route.Priority), Route: op.route.Name, Deadline: now.Add(op.patience()),
 	}
 	if to.primary {
 		request.Term = to.lease.Term
--- a/serve/read.go
+++ b/serve/read.go
@@ -8,6 +8,7 @@
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/place"
 	"github.com/crocusshore/crocusshore/remote"
 	"github.com/crocusshore/crocusshore/sample"
 	"github.com/crocusshore/crocusshore/sess"
@@ -99,7 +100,7 @@
 		c.server.failed(to.instance.Name, err)
 		return attempt{err: err, sent: !errors.Is(err, model.ErrNotSent)}
 	}
-	c.server.answered(sentAt, op, to, reply)
+	c.answered(sentAt, op, to, true, reply)
 	return attempt{reply: reply, sent: true}
 }
 
@@ -110,14 +111,27 @@
 // errLease reports a primary that may have been replaced; nothing was sent.
 var errLease = errors.New("the primary may have been replaced")
 
-// answered records an answer of an instance.
-func (s *Server) answered(sentAt time.Time, op operation, to choice, reply model.Reply) {
+// work tells what the latency of a statement says.
+type work struct {
+	route model.RouteName
+	// measured tells that it read or wrote, and direct that no other VM held the connection.
+	measured, direct bool
+}
+
+// tracked records what the answer to a statement says of an instance.
+func (s *Server) tracked(sentAt time.Time, instance model.InstanceName, w work, reply model.Reply) {
 	now := clock.Now()
-	if reply.Fault == "" {
-		s.config.Track.Answered(now, op.route.Name, to.instance.Name, now.Sub(sentAt))
+	if w.measured && reply.Fault == "" {
+		s.config.Track.Answered(now, place.Latency{Route: w.route, Took: now.Sub(sentAt), Direct: w.direct}, instance)
 	} else {
-		s.config.Track.Alive(now, to.instance.Name)
+		s.config.Track.Alive(now, instance)
 	}
+}
+
+// answered records an answer of an instance; that to a commit says nothing of its speed.
+func (c *caller) answered(sentAt time.Time, op operation, to choice, measured bool, reply model.Reply) {
+	s := c.server
+	s.tracked(sentAt, to.instance.Name, work{route: op.route.Name, measured: measured, direct: c.last != nil && c.last.Holder() == ""}, reply)
 	if to.primary {
 		s.sampled(sentAt, op.route.Group, to.lease.Term, reply)
 	}
--- a/serve/statement.go
+++ b/serve/statement.go
@@ -29,7 +29,7 @@
 
 // send runs the statement on a connection that it brings to the session's values.
 func (c *caller) send(conn model.Connection, deadline time.Time, s statement, since model.Mark) (model.Reply, error) {
-	query := model.Query{ID: s.command.ID, Text: s.command.Text, Since: since}
+	query := model.Query{ID: s.command.ID, Text: s.command.Text, Since: since, Work: s.command.Kind != model.CommandCommit}
 	if s.prepared != nil {
 		return conn.Execute(deadline, c.session.Values, *s.prepared, query, s.command.Arguments)
 	}
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -74,7 +74,7 @@
 		c.server.failed(c.tx.to.instance.Name, err)
 		return model.Reply{Fault: sess.Unanswered(step, !clock.Now().Before(deadline)), Detail: "the instance did not answer"}
 	}
-	c.server.answered(sentAt, c.tx.op, c.tx.to, reply)
+	c.answered(sentAt, c.tx.op, c.tx.to, true, reply)
 	if reply.Fault == "" && reply.State != model.TxOpen {
 		c.tx.conn.Break()
 		return model.Reply{Fault: model.FaultAborted, Detail: "the instance left the transaction"}
--- a/serve/write.go
+++ b/serve/write.go
@@ -92,7 +92,7 @@
 		}
 		return model.Reply{Fault: sess.Unanswered(step, !now.Before(deadline)), Detail: "the primary did not answer"}, nil
 	}
-	c.server.answered(sentAt, op, to, reply)
+	c.answered(sentAt, op, to, step.Kind == sess.StepWrite, reply)
 	return c.conclude(now, to, step, reply), nil
 }
 
