A primary that comes back under another name hands over, and a group without a primary costs few questions

Change: a replacement whose old primary is not registered looks for it under another name, by role and term, and then does what it does with an old primary that answers: a replica catches up, the primary is demoted, the replica promoted. A round of questions for a group is followed by a pause of 300 ms (100 ms while a primary just began to fail); only the reader of a failure domain asks replicas for what they received, and it passes on what they witnessed.

Ruled out: naming the returned primary without a promotion where an earlier order may still be performed.

--- a/node/local.go
+++ b/node/local.go
@@ -24,7 +24,9 @@
 	}
 	waited := n.follower.Await(request.Versions, min(request.Wait, mostHeldBack))
 	now := clock.Now()
-	reply := peers.CopiesReply{Copies: n.follower.Copies(now, request.Versions), Waited: waited, Conditions: n.track.Knows(now)}
+	reply := peers.CopiesReply{
+		Copies: n.follower.Copies(now, request.Versions), Waited: waited, Conditions: n.track.Knows(now), Witnessed: n.world.Witnessed(now, leaseBound),
+	}
 	for _, group := range n.world.State().Groups() {
 		if last, known := n.samples.Last(group); known && now.Sub(last.At) < oldestSample {
 			reply.Samples = append(reply.Samples, peers.Sample{Group: group, Mark: last.Mark, Age: now.Sub(last.At)})
--- a/orders/compare.go
+++ b/orders/compare.go
@@ -39,9 +39,14 @@
 		if r.mayKeep(now) {
 			return model.Instance{}, errKept
 		}
-		if !r.released() && now.Sub(askedAt) >= askPause {
+		if now.Sub(askedAt) >= askPause {
 			askedAt = now
-			r.release(ctx)
+			if !r.oldKnown && r.findReturned() {
+				return model.Instance{}, errReturned
+			}
+			if !r.released() {
+				r.release(ctx)
+			}
 		}
 		if !retry.Sleep(ctx, stepPause) {
 			return model.Instance{}, errors.New("no replica can take over yet")
@@ -97,7 +102,7 @@
 	var wait sync.WaitGroup
 	var replicas []elect.Replica
 	for _, instance := range r.s.config.World.State().Group(r.group) {
-		if instance.Name == r.lead.Primary {
+		if instance.Name == r.lead.Primary || (r.oldKnown && instance.Name == r.old.Name) {
 			continue
 		}
 		wait.Go(func() {
--- a/orders/keep.go
+++ b/orders/keep.go
@@ -29,8 +29,8 @@
 // keep lets the replicas receive again and takes the announcement back.
 func (r *replacement) keep(ctx context.Context) error {
 	r.inspect(model.Link.Resume)
-	version, err := r.write(ctx, world.Lead{Group: r.group, Term: r.lead.Term, Primary: r.lead.Primary})
-	r.s.config.Log.Info("primary kept", "group", r.group, "instance", r.lead.Primary, "term", r.lead.Term, "row", version, "error", err)
+	version, err := r.write(ctx, world.Lead{Group: r.group, Term: r.lead.Term, Primary: r.old.Name})
+	r.s.config.Log.Info("primary kept", "group", r.group, "instance", r.old.Name, "term", r.lead.Term, "row", version, "error", err)
 	return err
 }
 
--- a/orders/replace.go
+++ b/orders/replace.go
@@ -42,8 +42,9 @@
 
 // replacement is one run towards a new primary.
 type replacement struct {
-	s        *Supervisor
-	group    model.GroupName
+	s     *Supervisor
+	group model.GroupName
+	// old is the old primary, under another name where it came back with its log.
 	old      model.Instance
 	oldKnown bool
 	lead     world.Lead
@@ -86,6 +87,9 @@
 		s: s, group: group, old: old, oldKnown: registered, lead: lead, duty: held,
 		planned: need == elect.KindPlanned, stuck: stuck, releases: map[model.VMID]elect.Release{},
 	}
+	if !r.oldKnown {
+		r.findReturned()
+	}
 	if r.planned {
 		r.awaitNear(ctx)
 	}
--- a/peers/message.go
+++ b/peers/message.go
@@ -7,6 +7,7 @@
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/place"
 	"github.com/crocusshore/crocusshore/watch"
+	"github.com/crocusshore/crocusshore/world"
 )
 
 const (
@@ -30,8 +31,9 @@
 		Copies []watch.Copy
 		// Waited is how long the answer was held back.
 		Waited time.Duration
-		// Samples are positions of primaries.
-		Samples []Sample
+		// Samples are positions of primaries, and Witnessed what replicas proved of leases on them.
+		Samples   []Sample
+		Witnessed []world.Witnessed `json:",omitempty"`
 		// Conditions are the instances that the VMs of the failure domain saw do worse than usual.
 		Conditions []place.Condition `json:",omitempty"`
 	}
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -177,6 +177,9 @@
 	for _, s := range reply.Samples {
 		r.Samples.Add(s.Group, sample.Sample{At: answeredAt.Add(-s.Age), Mark: s.Mark})
 	}
+	for _, w := range reply.Witnessed {
+		r.World.Witness(w.Group, w.Term, answeredAt.Add(-w.Age))
+	}
 	for _, c := range reply.Conditions {
 		if r.Track.Hear(answeredAt, c) {
 			r.Log.Info("instance does worse than usual", "instance", c.Instance, "slowness", c.Slowness, "failing", c.Failing, "age", c.Age, "told-by", peer)
--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -26,8 +26,14 @@
 	demandTime = 2 * time.Second
 	// sampleTimeout bounds one question.
 	sampleTimeout = 250 * time.Millisecond
-	// witnessAge is how old the proof for a group may be before a replica is asked as a witness.
-	witnessAge = 1200 * time.Millisecond
+	// readerWitnessAge and witnessAge are how old the proof for a group may be before the reader of a failure domain asks a replica as
+	// a witness, and before any other VM does, which hears of the reader's.
+	readerWitnessAge = 1000 * time.Millisecond
+	witnessAge       = 1500 * time.Millisecond
+	// refreshAgain is the pause after questions for a group that brought nothing.
+	refreshAgain = 300 * time.Millisecond
+	// eagerFailures in a row are followed by the next question at once; two of them make a primary suspected.
+	eagerFailures = 3
 )
 
 // Refresh keeps the samples of the groups young enough for their routes, until the context ends.
@@ -35,31 +41,34 @@
 	for retry.Sleep(ctx, refreshPause) {
 		now := clock.Now()
 		s.config.Pool.Trim()
+		reader := s.config.Reader()
 		wanted, share := s.demand.wanted(now), refreshShare
-		if s.config.Reader() {
+		if reader {
 			share = readerShare
 			if p := s.config.World.State().Policy; p != nil {
 				wanted = p.ReplicaAges()
 			}
 		}
 		for group, age := range wanted {
-			s.refresh(now, group, time.Duration(share*float64(age)))
+			s.refresh(now, group, time.Duration(share*float64(age)), reader)
 		}
 	}
 }
 
-// refresh takes a sample where the last one is older than an age, unless one is being taken.
-func (s *Server) refresh(now time.Time, group model.GroupName, age time.Duration) {
+// refresh takes a sample where the last one is older than an age, unless one is being taken. A reader asks the replicas too.
+func (s *Server) refresh(now time.Time, group model.GroupName, age time.Duration, reader bool) {
 	lead := s.config.World.State().Leads[group]
 	last, known := s.config.Samples.Last(group)
 	young := known && last.Mark.Term == lead.Term && now.Sub(last.At) < age
 	lease, leased := s.config.World.Lease(now, group)
 	failing := s.config.Track.Health(lead.Primary).Failures > 0
-	unproven := s.config.World.ProofAge(now, group) > witnessAge
-	if young && !failing && !unproven {
-		return
+	oldest := witnessAge
+	if reader {
+		oldest = readerWitnessAge
 	}
-	if _, busy := s.refreshing.LoadOrStore(group, struct{}{}); busy {
+	// Replicas are stopped while the primary is being replaced, and witness nothing.
+	unproven := lead.Next == nil && s.config.World.ProofAge(now, group) > oldest
+	if (young && !failing && !unproven) || !s.refreshing.begin(now, group) {
 		return
 	}
 	var wait sync.WaitGroup
@@ -69,15 +78,23 @@
 	if leased && (!young || failing) {
 		wait.Go(func() { s.sample(lease) })
 	}
-	if !young && (!leased || failing) {
+	if reader && !young && (!leased || failing) {
 		wait.Go(func() { s.sampleReplicas(now, group, lead.Term) })
 	}
 	go func() {
 		wait.Wait()
-		s.refreshing.Delete(group)
+		s.refreshing.end(clock.Now(), group, s.pauseAfter(lead.Primary))
 	}()
 }
 
+// pauseAfter returns the pause after a round: a primary that just began to fail is asked again at once, so that its loss is soon known.
+func (s *Server) pauseAfter(primary model.InstanceName) time.Duration {
+	if failures := s.config.Track.Health(primary).Failures; failures > 0 && failures <= eagerFailures {
+		return refreshPause
+	}
+	return refreshAgain
+}
+
 // sample asks a primary for its position.
 func (s *Server) sample(lease world.Lease) {
 	state, sentAt, err := s.ask(lease.Primary)
--- a/serve/server.go
+++ b/serve/server.go
@@ -58,11 +58,11 @@
 		inflight *inflight
 		acked    *acked
 		demand   *demand
-		draining atomic.Bool
+		// refreshing are the questions for positions and witnesses.
+		refreshing *rounds
+		draining   atomic.Bool
 		// moving tells that callers are served better by other VMs, so that idle sessions end.
 		moving atomic.Bool
-		// refreshing holds the groups that are being sampled.
-		refreshing sync.Map
 		// confirming is held while a confirmation is recorded, and shared by answers that are about to be acknowledged.
 		confirming sync.RWMutex
 
@@ -73,7 +73,7 @@
 
 // New returns a server without callers.
 func New(config Config) *Server {
-	return &Server{config: config, inflight: newInflight(), acked: newAcked(), demand: newDemand(), callers: map[*caller]struct{}{}}
+	return &Server{config: config, inflight: newInflight(), acked: newAcked(), demand: newDemand(), refreshing: newRounds(), callers: map[*caller]struct{}{}}
 }
 
 // Serve serves a caller until the session ends.
--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -108,6 +108,18 @@
 	return all
 }
 
+// Rename lets an instance come back with its log under another name.
+func (c *Cluster) Rename(name, as model.InstanceName) model.Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.databases[name]
+	delete(c.databases, name)
+	d.instance.Name, d.faults, d.held = as, DatabaseFaults{}, 0
+	d.generation++
+	c.databases[as] = d
+	return d.instance
+}
+
 // OrderBreaches returns the orders for new primaries that came out of turn.
 func (c *Cluster) OrderBreaches() []string {
 	c.mu.Lock()
--- a/world/lease.go
+++ b/world/lease.go
@@ -68,15 +68,6 @@
 	return now.Before(lease.Until) && w.confirmed[lease.Group] <= lease.Version
 }
 
-// Witness records that at an instant a replica of a group was not paused for a term above the given one.
-func (w *World) Witness(group model.GroupName, term model.Term, at time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.state.Load().Leads[group].Term == term && at.After(w.witnessedAt[group]) {
-		w.witnessedAt[group] = at
-	}
-}
-
 // ProofAge returns how long ago the last proof for a group was, of whichever kind.
 func (w *World) ProofAge(now time.Time, group model.GroupName) time.Duration {
 	w.mu.Lock()
