--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -108,6 +108,13 @@
 	return all
 }
 
+// Instance returns an instance as it sees itself.
+func (c *Cluster) Instance(name model.InstanceName) model.Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.databases[name].instance
+}
+
 // Rename lets an instance come back with its log under another name.
 func (c *Cluster) Rename(name, as model.InstanceName) model.Instance {
 	c.mu.Lock()
