--- a/place/place_test.go
+++ b/place/place_test.go
@@ -82,7 +82,9 @@
 	track := NewTrack()
 	now := time.Unix(100, 0)
 	track.Failed(now, "i")
-	require.True(t, track.Try(now, "i") && track.Try(now, "i"), "one failure may be the statement's")
+	for range 2 {
+		require.True(t, track.Try(now, "i"), "one failure may be the statement's")
+	}
 	track.Failed(now, "i")
 	trials := 0
 	for elapsed := time.Duration(0); elapsed < time.Second; elapsed += 5 * time.Millisecond {
@@ -92,5 +94,7 @@
 	}
 	require.Equal(t, int(time.Second/trialPause)-1, trials, "the trial before the second failure counts")
 	track.Alive(now.Add(time.Second), "i")
-	require.True(t, track.Try(now.Add(time.Second), "i") && track.Try(now.Add(time.Second), "i"))
+	for range 2 {
+		require.True(t, track.Try(now.Add(time.Second), "i"))
+	}
 }
--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -26,10 +26,6 @@
 	demandTime = 2 * time.Second
 	// sampleTimeout bounds one question.
 	sampleTimeout = 250 * time.Millisecond
-	// readerWitnessAge and witnessAge are how old the proof for a group may be before the reader of a failure domain asks a replica as
-	// a witness, and before any other VM does, which hears of the reader's.
-	readerWitnessAge = 1000 * time.Millisecond
-	witnessAge       = 1500 * time.Millisecond
 	// refreshAgain is the pause after questions for a group that brought nothing.
 	refreshAgain = 300 * time.Millisecond
 	// eagerFailures in a row are followed by the next question at once; two of them make a primary suspected.
@@ -55,30 +51,26 @@
 	}
 }
 
-// refresh takes a sample where the last one is older than an age, unless one is being taken. A reader asks the replicas too.
+// refresh asks for what a group lacks, unless a round of questions is running; samples are to be younger than an age.
 func (s *Server) refresh(now time.Time, group model.GroupName, age time.Duration, reader bool) {
 	lead := s.config.World.State().Leads[group]
 	last, known := s.config.Samples.Last(group)
-	young := known && last.Mark.Term == lead.Term && now.Sub(last.At) < age
 	lease, leased := s.config.World.Lease(now, group)
-	failing := s.config.Track.Health(lead.Primary).Failures > 0
-	oldest := witnessAge
-	if reader {
-		oldest = readerWitnessAge
-	}
-	// Replicas are stopped while the primary is being replaced, and witness nothing.
-	unproven := lead.Next == nil && s.config.World.ProofAge(now, group) > oldest
-	if (young && !failing && !unproven) || !s.refreshing.begin(now, group) {
+	needs := questions(state{
+		reader: reader, leased: leased, replacing: lead.Next != nil, failing: s.config.Track.Health(lead.Primary).Failures > 0,
+		young: known && last.Mark.Term == lead.Term && now.Sub(last.At) < age, proofAge: s.config.World.ProofAge(now, group),
+	})
+	if needs == (needed{}) || !s.refreshing.begin(now, group) {
 		return
 	}
 	var wait sync.WaitGroup
-	if unproven {
+	if needs.witness {
 		wait.Go(func() { s.witness(group) })
 	}
-	if leased && (!young || failing) {
+	if needs.primary {
 		wait.Go(func() { s.sample(lease) })
 	}
-	if reader && !young && (!leased || failing) {
+	if needs.replicas {
 		wait.Go(func() { s.sampleReplicas(now, group, lead.Term) })
 	}
 	go func() {
--- a/soak/audit_test.go
+++ b/soak/audit_test.go
@@ -68,7 +68,8 @@
 func TestPromotionThatCutsOffWhatACallerWasToldIsABreach(t *testing.T) {
 	for told, breaches := range map[outcome]int{outcomeAcked: 1, outcomeOpen: 0} {
 		members := []model.Instance{
-			{Name: "i-1", Group: "g", Role: model.RolePrimary, Slots: 3}, {Name: "i-2", Group: "g", Role: model.RoleReplica, Slots: 3},
+			{Name: "i-1", Group: "g", Role: model.RolePrimary, Slots: 3},
+			{Name: "i-2", Group: "g", Role: model.RoleReplica, Slots: 3},
 			{Name: "i-3", Group: "g", Role: model.RoleReplica, Slots: 3},
 		}
 		cluster := stand.NewCluster(stand.ClusterConfig{Group: "g", Instances: members})
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -49,8 +49,10 @@
 }
 
 func (i *injector) draw() fault {
-	kinds := []func() fault{i.kill, i.terminate, i.pause, i.hup, i.herd, i.database, i.database, i.storeAway, i.storeLossy, i.storeForgets,
-		i.storeLink, i.instanceLink, i.instanceLink, i.domainCut, i.leave}
+	kinds := []func() fault{
+		i.kill, i.terminate, i.pause, i.hup, i.herd, i.database, i.database, i.storeAway, i.storeLossy, i.storeForgets,
+		i.storeLink, i.instanceLink, i.instanceLink, i.domainCut, i.leave,
+	}
 	return kinds[i.random.IntN(len(kinds))]()
 }
 
