--- a/node/reach.go
+++ b/node/reach.go
@@ -14,11 +14,12 @@
 
 // watchReach takes the VM out of rotation while it is cut off, and sends idle sessions away once the balancer has noticed.
 func (n *Node) watchReach(ctx context.Context) {
+	var judge reach.Judge
 	var since time.Time
 	for retry.Sleep(ctx, reachPause) {
 		now := clock.Now()
 		signs := n.signs(now)
-		cut := reach.CutOff(signs)
+		cut := judge.CutOff(now, signs)
 		if cut != n.cutOff.Swap(cut) {
 			since = now
 			n.config.Log.Warn("reach of this VM", "cut-off", cut, "table-age", signs.TableAge, "sample-ages", signs.SampleAges, "sessions", n.server.Callers())
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -2,9 +2,13 @@
 
 import "time"
 
-// silence is how old what comes all the time may get; the store and the reader of a failure domain confirm their copies, and pass on
-// positions, about once a second.
-const silence = 1200 * time.Millisecond
+const (
+	// silence is how old what comes all the time may get; the store and the reader of a failure domain confirm their copies, and pass on
+	// positions, about once a second.
+	silence = 1200 * time.Millisecond
+	// sureTime is how long the signs must last, so that one answer that is late changes nothing.
+	sureTime = 250 * time.Millisecond
+)
 
 // Signs is what a VM knows of its contact with the store and with the groups.
 type Signs struct {
@@ -14,9 +18,27 @@
 	SampleAges []time.Duration
 }
 
-// CutOff tells whether callers are served better elsewhere: neither the store nor a VM that reaches it answers, and most groups are out
+// Judge tells from signs over time whether a VM is cut off; it is not safe for concurrent use.
+type Judge struct {
+	// since is when the signs began to say so; it is zero while they do not.
+	since time.Time
+}
+
+// CutOff tells whether the signs have said for a while that the VM is cut off.
+func (j *Judge) CutOff(now time.Time, s Signs) bool {
+	if !cutOff(s) {
+		j.since = time.Time{}
+		return false
+	}
+	if j.since.IsZero() {
+		j.since = now
+	}
+	return now.Sub(j.since) >= sureTime
+}
+
+// cutOff tells whether callers are served better elsewhere: neither the store nor a VM that reaches it answers, and most groups are out
 // of reach. An outage of the store alone leaves the groups in reach, and the loss of groups leaves the store.
-func CutOff(s Signs) bool {
+func cutOff(s Signs) bool {
 	if s.TableAge <= silence {
 		return false
 	}
