--- /dev/null
+++ b/peers/relay_test.go
@@ -0,0 +1,80 @@
+package peers
+
+import (
+	"io"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/place"
+	"github.com/crocusshore/crocusshore/policy"
+	"github.com/crocusshore/crocusshore/sample"
+	"github.com/crocusshore/crocusshore/stand"
+	"github.com/crocusshore/crocusshore/watch"
+	"github.com/crocusshore/crocusshore/world"
+)
+
+// knowing is a reader that heard of its failure domain.
+type knowing struct {
+	answers
+	asked *[]place.Condition
+}
+
+func (k knowing) Copies(r CopiesRequest) CopiesReply {
+	*k.asked = append(*k.asked, r.Conditions...)
+	return CopiesReply{
+		Waited:     r.Wait,
+		Witnessed:  []world.Witnessed{{Group: "g", Term: 1, Age: 300 * time.Millisecond}},
+		Conditions: []place.Condition{{Instance: "slow", Slowness: 4, Age: 200 * time.Millisecond}},
+	}
+}
+
+// TestReaderPassesOnWhatItsFailureDomainKnows replays a large fleet without a store: each VM asked a replica of each group as a witness,
+// and learned of a slow instance by itself.
+func TestReaderPassesOnWhatItsFailureDomainKnows(t *testing.T) {
+	var asked []place.Condition
+	server := httptest.NewServer(Handler(knowing{asked: &asked}, log.New(io.Discard)))
+	t.Cleanup(server.Close)
+	w := world.New(world.Config{VM: "vm", Boot: "boot", LeaseBound: 2 * time.Second})
+	lead, err := world.Lead{Group: "g", Term: 1, Primary: "p"}.Row()
+	require.NoError(t, err)
+	require.NoError(t, w.SetRows(1, true, []model.StoredRow{lead}, clock.Now().Add(-time.Minute)))
+	track := place.NewTrack()
+	track.Failed(clock.Now(), "failing")
+	track.Failed(clock.Now(), "failing")
+	follower := watch.New(watch.Config{
+		Open: func() model.Rows { return stand.NewRows().Client("vm") }, World: w, Log: log.New(io.Discard),
+		DecodePolicy: func([]byte) (*policy.Policy, []string, error) { return nil, nil, nil },
+	})
+	r := &Relay{Self: "vm", World: w, Follower: follower, Samples: sample.New(), Track: track, Client: NewClient(), Log: log.New(io.Discard)}
+	before := clock.Now()
+	require.True(t, r.ask(t.Context(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), 0))
+	now := clock.Now()
+	require.Less(t, w.ProofAge(now, "g"), 300*time.Millisecond+now.Sub(before)+time.Millisecond)
+	require.GreaterOrEqual(t, w.ProofAge(now, "g"), 300*time.Millisecond, "as old as the reader says, and the way back")
+	require.InDelta(t, 4, track.Judge(now, place.Candidate{Instance: model.Instance{Name: "slow"}}).Slowness, 0.01)
+	require.Len(t, asked, 1)
+	require.Equal(t, model.InstanceName("failing"), asked[0].Instance)
+}
+
+func TestWitnessOfAnotherTermProvesNothing(t *testing.T) {
+	w := world.New(world.Config{VM: "vm", Boot: "boot", LeaseBound: 2 * time.Second})
+	lead, err := world.Lead{Group: "g", Term: 2, Primary: "p"}.Row()
+	require.NoError(t, err)
+	now := time.Unix(100, 0)
+	require.NoError(t, w.SetRows(1, true, []model.StoredRow{lead}, now.Add(-time.Minute)))
+	w.Witness("g", 1, now)
+	require.Equal(t, time.Minute, w.ProofAge(now, "g"))
+	require.Empty(t, w.Witnessed(now, time.Second))
+	w.Witness("g", 2, now)
+	require.Zero(t, w.ProofAge(now, "g"))
+	require.Equal(t, []world.Witnessed{{Group: "g", Term: 2}}, w.Witnessed(now, time.Second))
+	require.Empty(t, w.Witnessed(now.Add(time.Second), time.Second))
+}
