--- a/soak/config.go
+++ b/soak/config.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"os"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 )
 
 // Config describes a run.
@@ -18,3 +20,20 @@
 	For time.Duration
 	Log *log.Logger
 }
+
+// Check returns all that is wrong with a configuration.
+func (c Config) Check() error {
+	var findings []error
+	for name, n := range map[string]int{"VMs": c.VMs, "Groups": c.Groups, "Sessions": c.Sessions} {
+		if n < 1 {
+			findings = append(findings, errors.Newf("%s: %d is too few, a run needs one at least", name, n))
+		}
+	}
+	if c.For <= 0 {
+		findings = append(findings, errors.Newf("For: %s leaves no time for faults", c.For))
+	}
+	if _, err := os.Stat(c.Program); err != nil {
+		findings = append(findings, errors.Wrap(err, "Program: build the daemon first"))
+	}
+	return errors.Join(findings...)
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -39,6 +39,9 @@
 
 // Run plays one seed.
 func Run(ctx context.Context, config Config) (Report, error) {
+	if err := config.Check(); err != nil {
+		return Report{}, err
+	}
 	s, err := newSite(config)
 	defer s.close()
 	if err != nil {
