--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -27,13 +27,13 @@
 		least  int
 		breach string
 	}{
-		"newest":                     {"3", 3, ""},
-		"old enough":                 {"1", 1, ""},
-		"nothing yet":                {"", 0, ""},
-		"older than allowed":         {"1", 3, "stale"},
-		"nothing though acked":       {"", 1, "stale"},
-		"value of a refused write":   {"2", 1, "kept"},
-		"value of somebody's dreams": {"9", 0, "mixed"},
+		"newest":                   {"3", 3, ""},
+		"old enough":               {"1", 1, ""},
+		"nothing yet":              {"", 0, ""},
+		"older than allowed":       {"1", 3, "stale"},
+		"nothing though acked":     {"", 1, "stale"},
+		"value of a refused write": {"2", 1, "kept"},
+		"value that nobody wrote":  {"9", 0, "mixed"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := written()
