--- a/place/condition.go
+++ b/place/condition.go
@@ -9,9 +9,10 @@
 const (
 	// conditionTime is how long what a VM saw of an instance counts for others; it covers two questions to the reader of a failure domain.
 	conditionTime = 1500 * time.Millisecond
-	// slowFrom is the slowness from which on others are told of an instance, and surely how many latencies that takes.
+	// slowFrom is the slowness from which on others are told of an instance.
 	slowFrom = 1.5
-	surely   = 8
+	// leastAnswers is how many latencies it takes to tell others that an instance is slow.
+	leastAnswers = 8
 )
 
 // Condition tells that an instance does worse than usual, as seen by a VM that sends it much.
@@ -73,7 +74,7 @@
 
 func (s *seen) condition(now time.Time) (Condition, bool) {
 	c := Condition{Slowness: 1, Age: now.Sub(s.observedAt)}
-	if s.answers >= surely && c.Age < conditionTime {
+	if s.answers >= leastAnswers && c.Age < conditionTime {
 		c.Slowness = s.slowness
 	}
 	if s.failures >= failuresInARow && now.Sub(s.failedAt) < conditionTime {
