The soak writes the platform's rows through the adapter

Found on the last read: soak/settings.go and soak/site.go rendered the operators' settings and an instance's address with the platform's field names, which belong in platform/ alone.

No change of behaviour: the same rows and bodies are on the wire. The callers' words in soak/caller.go and soak/ask.go still stand outside the adapter; they need the callers' end of the line protocol there.

--- a/soak/settings.go
+++ b/soak/settings.go
@@ -1,12 +1,12 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"time"
 
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/platform"
+	"github.com/crocusshore/crocusshore/policy"
 )
 
 const (
@@ -21,6 +21,12 @@
 
 	boundedAge = 1500 * time.Millisecond
 	sessionAge = 2500 * time.Millisecond
+
+	routeTimeout = time.Second
+	routeTarget  = 200 * time.Millisecond
+	txIdle       = 2 * time.Second
+	// connections is how many connections an instance is said to take.
+	connections = 60
 )
 
 // routes returns the routes of all groups.
@@ -36,35 +42,39 @@
 }
 
 // operate puts settings in force as the operators would.
-func (s *site) operate(version int, builders, crew string) {
-	type fields map[string]any
-	var routes, services []fields
-	for _, r := range s.routes() {
-		kind, priority := "primary", 1
-		switch {
-		case r.own:
-			kind, priority = "read_your_writes", 2
-		case r.age > 0:
-			kind, priority = "bounded", 2
-		}
-		routes = append(routes, fields{
-			"Name": "r-" + r.name, "Host": r.name, "Type": kind, "TimeoutMs": 1000, "TargetLatencyMs": 200, "Priority": priority,
-			"Service": r.group, "MaxStalenessMs": r.age.Milliseconds(),
-		})
+func (s *site) operate(version int64, builders, crew string) {
+	p := &policy.Policy{
+		Version: version, TxIdle: txIdle, Routes: map[string]policy.Route{}, Groups: map[model.GroupName]policy.Group{},
+		Keys: map[string]model.TeamName{builders: teamBuilders, crew: teamCrew},
+		Teams: map[model.TeamName]policy.Team{
+			teamBuilders: {Name: teamBuilders, Rate: buildersRate, Burst: buildersRate}, teamCrew: {Name: teamCrew, Rate: crewRate, Burst: crewRate},
+		},
 	}
-	for g := range s.config.Groups {
-		services = append(services, fields{"Name": groupName(g), "MaxConns": 60, "SyncReplicas": 1})
+	for _, r := range s.routes() {
+		p.Routes[r.name] = r.settings()
+		p.Groups[r.group] = policy.Group{Name: r.group, Connections: connections, Replicated: true}
 	}
-	body, err := json.Marshal(fields{
-		"Version": version, "Routes": routes, "Services": services, "Limits": fields{"TxIdleMs": 2000},
-		"Tenants": []fields{
-			{"Name": teamBuilders, "ApiKeys": []string{builders}, "RatePerS": buildersRate, "Burst": buildersRate},
-			{"Name": teamCrew, "ApiKeys": []string{crew}, "RatePerS": crewRate, "Burst": crewRate},
-		},
-	})
+	body, err := platform.EncodePolicy(p)
 	if err != nil {
 		s.ledger.breach("settings: %v", err)
 		return
 	}
 	s.rows.Put(platform.TableSettings, platform.KeySettings, body)
 }
+
+// settings returns the route as operators write it.
+func (r route) settings() policy.Route {
+	p := policy.Route{
+		Name: model.RouteName("r-" + r.name), Database: r.name, Group: r.group, Consistency: policy.ConsistencyPrimary, MaxAge: r.age,
+		Timeout: routeTimeout, Target: routeTarget, Priority: 2,
+	}
+	switch {
+	case r.own:
+		p.Consistency = policy.ConsistencySession
+	case r.age > 0:
+		p.Consistency = policy.ConsistencyBounded
+	default:
+		p.Priority = 1
+	}
+	return p
+}
--- a/soak/site.go
+++ b/soak/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -264,12 +263,12 @@
 	rows := append([]model.StoredRow(nil), page.Rows...)
 	for at, row := range rows {
 		proxy := r.links[model.InstanceName(row.Key)]
-		var fields map[string]any
-		if proxy == nil || row.Removed || json.Unmarshal(row.Value, &fields) != nil {
+		instance, err := platform.DecodeInstance(row.Key, row.Value)
+		if proxy == nil || row.Removed || err != nil {
 			continue
 		}
-		fields["Addr"] = proxy.Address().String()
-		if value, err := json.Marshal(fields); err == nil {
+		instance.Address = proxy.Address()
+		if value, err := platform.EncodeInstance(instance); err == nil {
 			rows[at].Value = value
 		}
 	}
