An entry that has not read the settings refuses as NotConfirmed, not NoRoute

Ruled out: the stop of the old entry (refusals came from the new one). Before: the test failed with NoRoute:3 when background tasks start 100 ms later.

--- a/bench/limits.go
+++ b/bench/limits.go
@@ -126,7 +126,7 @@
 	defer b.mu.Unlock()
 	var addresses []netip.AddrPort
 	for _, server := range b.fleet.Entries() {
-		if !b.unhealthy[server.Self().ID] {
+		if server.HasSettings() && !b.unhealthy[server.Self().ID] {
 			addresses = append(addresses, server.CallerAddress)
 		}
 	}
--- a/entry/auth.go
+++ b/entry/auth.go
@@ -68,8 +68,19 @@
 	return !known || !s.views.ConfirmedWithin(s.now(), state.FleetSettings().KeyBound)
 }
 
+// requireSettings returns a refusal while this VM has not read the settings since its start, so that it cannot tell which routes and keys exist.
+func (s *Server) requireSettings() error {
+	if s.HasSettings() {
+		return nil
+	}
+	return model.Refuse(model.ReasonNotConfirmed, "this VM has not read the settings yet").WithRetryAfter(confirmInterval)
+}
+
 // authorize returns the route and the identity of a request, or a refusal if the key must not use the route.
 func (s *Server) authorize(ctx context.Context, name model.RouteName, key string) (tree.Route, identity, error) {
+	if err := s.requireSettings(); err != nil {
+		return tree.Route{}, identity{}, err
+	}
 	route, found := s.views.State().Tree.Route(name)
 	if !found {
 		return route, identity{}, model.Refuse(model.ReasonNoRoute, "the route %s does not exist", name)
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -202,8 +202,8 @@
 	if s.leaving.Load() {
 		return s.problem(nil, model.Refuse(model.ReasonLeaving, "this VM is stopping"))
 	}
-	if s.views.State().Version == 0 {
-		return s.problem(nil, model.Refuse(model.ReasonNotConfirmed, "this VM has not read the settings yet"))
+	if err := s.requireSettings(); err != nil {
+		return s.problem(nil, err)
 	}
 	return nil
 }
--- a/entry/check_test.go
+++ b/entry/check_test.go
@@ -53,3 +53,19 @@
 	now = now.Add(s.views.State().FleetSettings().WriteBound)
 	require.False(t, s.mayAcknowledge("G", 3), "the confirmation has expired")
 }
+
+// TestRequestBeforeSettingsAreReadIsRefusedAsNotConfirmed guards against a VM that just started and refuses the routes of all callers as
+// unknown, since it has not read the settings.
+func TestRequestBeforeSettingsAreReadIsRefusedAsNotConfirmed(t *testing.T) {
+	s := &Server{views: view.NewCache("boot"), now: time.Now}
+	_, _, err := s.authorize(t.Context(), "OrdersTruss1", "")
+	var refusal *model.Refusal
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, model.ReasonNotConfirmed, refusal.Reason)
+	require.Positive(t, refusal.RetryAfter)
+
+	require.NoError(t, s.views.Apply([]view.Change{{Version: 1}}))
+	_, _, err = s.authorize(t.Context(), "OrdersTruss1", "")
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, model.ReasonNoRoute, refusal.Reason)
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -238,6 +238,9 @@
 // View returns the newest view that this VM holds.
 func (s *Server) View() *view.State { return s.views.State() }
 
+// HasSettings reports whether this VM has read the settings since its start; until then it serves no request.
+func (s *Server) HasSettings() bool { return s.views.State().Version > 0 }
+
 // OpenTransactions returns how many interactive transactions this VM holds.
 func (s *Server) OpenTransactions() int { return s.executor.OpenTransactions() }
 
