A failing primary is acted on by readers first, and a sample of VMs is asked about it

Cause: at 295 VMs only the VMs that own connections to a primary and the readers observe its failure, about 15, and each waited 250 ms for each VM ranked before it among all. Then each VM that suspected a primary asked all others, each of which may send it a status request, with a time limit that grew by 4 ms a VM (1.6 s at 295), all of it waited for when one VM did not answer. Change: the reader of each failure domain acts first, in one order for all groups, so that one VM replaces all primaries that fail together; the others are spread over 2 s whatever their number. A reader asks a primary at once if another VM reports it as failing. Opinions come from six VMs of each failure domain, from all only while commits are stuck here. Ruled out: ranking by group with a smaller step (a step per VM grows with the fleet whatever its size); a sample for stuck commits (one VM with a lost answer would take a primary down).

--- a/coord/release.go
+++ b/coord/release.go
@@ -33,14 +33,14 @@
 		inFlightWait = maxInFlightWait
 	}
 	request := peers.ReleaseRequest{Group: r.group, Version: r.record.Version, Settle: inFlightWait}
-	ctx, cancel := context.WithTimeout(ctx, inFlightWait+r.s.timeoutForAllVMs(releaseTimeout))
-	defer cancel()
 	var missing []state.VM
 	for _, vm := range r.s.config.Cache.Snapshot().Others(r.s.config.Self) {
 		if _, done := r.releases[vm.Name]; !done {
 			missing = append(missing, vm)
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, inFlightWait+timeoutFor(len(missing), releaseTimeout))
+	defer cancel()
 	own := make(chan elect.Release, 1)
 	go func() { own <- r.s.config.Responder.Release(request) }()
 	for _, release := range r.s.config.Client.RequestReleases(ctx, missing, request) {
--- a/coord/replace.go
+++ b/coord/replace.go
@@ -10,7 +10,6 @@
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/elect"
 	"github.com/crocusshore/crocusshore/model"
-	"github.com/crocusshore/crocusshore/peers"
 	"github.com/crocusshore/crocusshore/state"
 )
 
@@ -19,7 +18,8 @@
 	maxInFlightWait = 250 * time.Millisecond
 	// releaseTimeout bounds the requests to all VMs to stop using a primary, on top of maxInFlightWait and timeoutPerVM.
 	releaseTimeout = 300 * time.Millisecond
-	// timeoutPerVM is added, for each VM, to the timeout of requests to all VMs. Small VMs need this time to send and answer the requests.
+	// timeoutPerVM is added, for each VM that is asked, to the timeout of requests to other VMs. Small VMs need this time to send and answer the
+	// requests.
 	timeoutPerVM = 4 * time.Millisecond
 	// feedDelay is added to Config.LeaseTTL, since the store's feed may deliver the announcement late.
 	feedDelay = 1000 * time.Millisecond
@@ -27,8 +27,6 @@
 	pollInterval = 25 * time.Millisecond
 	// replaceTimeout bounds one run of a replacement; an unfinished one is resumed by a later run.
 	replaceTimeout = 15 * time.Second
-	// opinionTimeout bounds the requests for opinions on a primary, on top of timeoutPerVM.
-	opinionTimeout = 400 * time.Millisecond
 	// retryInterval is the pause between two requests to VMs or replicas that did not answer.
 	retryInterval = 200 * time.Millisecond
 	// promotionTimeout bounds the wait until an instance reports that it was promoted.
@@ -66,7 +64,7 @@
 	pauseTriedAt time.Time
 }
 
-// replace replaces the primary of a group. If the primary is only suspected, it asks all VMs for their opinions first. It does nothing
+// replace replaces the primary of a group. If the primary is only suspected, it asks other VMs for their opinions first. It does nothing
 // if the verdict is to keep the primary.
 func (s *Supervisor) replace(ctx context.Context, group model.GroupName, cause elect.Cause) error {
 	ctx, cancel := context.WithTimeout(ctx, replaceTimeout)
@@ -103,22 +101,6 @@
 	return nil
 }
 
-// timeoutForAllVMs returns the timeout of a request to all VMs.
-func (s *Supervisor) timeoutForAllVMs(base time.Duration) time.Duration {
-	return base + time.Duration(len(s.config.Cache.Snapshot().VMs))*timeoutPerVM
-}
-
-// decideFromOpinions asks all VMs about the primary of a group and returns the verdict.
-func (s *Supervisor) decideFromOpinions(ctx context.Context, group model.GroupName) elect.Verdict {
-	ctx, cancel := context.WithTimeout(ctx, s.timeoutForAllVMs(opinionTimeout))
-	defer cancel()
-	opinions := s.config.Client.RequestOpinions(ctx, s.config.Cache.Snapshot().Others(s.config.Self), group)
-	opinions = append(opinions, s.config.Responder.Opinion(peers.OpinionRequest{Group: group}))
-	verdict := elect.Decide(opinions)
-	s.config.Log.Info("opinions on a primary", "group", group, "verdict", verdict, "opinions", opinions)
-	return verdict
-}
-
 func (r *replacement) run(ctx context.Context) error {
 	if err := r.announce(ctx); err != nil {
 		return errors.Wrap(err, "announcing the replacement")
--- a/coord/supervisor.go
+++ b/coord/supervisor.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"hash/fnv"
+	"math"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
@@ -18,15 +19,16 @@
 	"github.com/crocusshore/crocusshore/retry"
 	"github.com/crocusshore/crocusshore/serve"
 	"github.com/crocusshore/crocusshore/state"
+	"github.com/crocusshore/crocusshore/watch"
 )
 
 const (
 	// assessInterval is the pause between two assessments of the primaries.
 	assessInterval = 60 * time.Millisecond
-	// rankDelay is how much longer each VM waits before it acts than the VM ranked before it, so that usually only one acts.
-	rankDelay = 250 * time.Millisecond
 	// retryDelay is the pause between two replacement runs for a group.
 	retryDelay = 700 * time.Millisecond
+	// coordinatorRankKey is the key under which the readers of the failure domains are ranked to act on primaries.
+	coordinatorRankKey = "coordinator"
 )
 
 type (
@@ -35,6 +37,7 @@
 		Self       model.VMID
 		Boot       model.BootID
 		Cache      *state.Cache
+		Rankings   *state.Rankings
 		Tracker    *place.Tracker
 		Server     *serve.Server
 		Client     *peers.Client
@@ -104,7 +107,7 @@
 		g.cause, g.since = cause, now
 		s.config.Log.Info("primary assessed", "group", group, "cause", cause)
 	}
-	if cause == elect.CauseNone || g.busy || now.Before(g.notBefore) || now.Sub(g.since) < s.startDelay(group) {
+	if cause == elect.CauseNone || g.busy || now.Before(g.notBefore) || now.Sub(g.since) < s.startDelay(now) {
 		return
 	}
 	g.busy = true
@@ -130,7 +133,7 @@
 		observed.Abandoned = isAbandoned(snapshot, *record.Next) && !g.busy
 	}
 	if registered {
-		health := s.config.Tracker.Health(primary.Name)
+		health := s.config.Tracker.Health(now, primary.Name)
 		observed.FailingSince, observed.Failures = health.FailingSince, health.Failures
 		observed.StuckSince = s.config.Server.CommitStatus(now, group).StuckSince
 	}
@@ -144,26 +147,33 @@
 	return lease.Fence > intent.Fence || (lease.Fence == intent.Fence && (lease.Released || holderEnded(snapshot, lease)))
 }
 
-// startDelay returns how long this VM leaves a group to the VMs that rank before it.
-func (s *Supervisor) startDelay(group model.GroupName) time.Duration {
-	if s.lease.holds(clock.Now()) {
+// startDelay returns how long this VM leaves the primaries to the VMs that act before it.
+func (s *Supervisor) startDelay(now time.Time) time.Duration {
+	if s.lease.holds(now) {
 		return 0 // No other VM can act.
 	}
-	snapshot := s.config.Cache.Snapshot()
-	vms := make([]model.VM, 0, len(snapshot.VMs))
-	for name := range snapshot.VMs {
-		vms = append(vms, model.VM{ID: name})
+	return elect.StartDelay(s.turn(now))
+}
+
+// turn returns the place of this VM among those that act on primaries. It is the same for all groups, so that one VM replaces all primaries
+// that fail together, under one coordinator lease.
+func (s *Supervisor) turn(now time.Time) elect.Turn {
+	var readers []model.VM
+	for _, domain := range s.config.Rankings.Domains(now) {
+		if ranked := s.config.Rankings.Of(now, domain, watch.ReaderRankKey); len(ranked) > 0 {
+			readers = append(readers, model.VM{ID: ranked[0].Name})
+		}
+	}
+	turn := elect.Turn{Reader: -1, Spread: spread(s.config.Self)}
+	if rank, isReader := fleet.Index(s.config.Self, fleet.Rank(coordinatorRankKey, readers)); isReader {
+		turn.Reader = rank
 	}
-	rank, _ := fleet.Index(s.config.Self, fleet.Rank(string(group), vms))
-	return time.Duration(rank)*rankDelay + jitter(string(s.config.Self))
+	return turn
 }
 
-// jitter returns a delay derived from a VM's name; it spreads VMs that have no ranking yet.
-func jitter(name string) time.Duration {
-	const spreadMillis = 50
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(name)) // A hash never fails.
-	return time.Duration(h.Sum32()%spreadMillis) * time.Millisecond
+// spread returns a number from 0 to 1 derived from the name of a VM.
+func spread(name model.VMID) float64 {
+	return float64(xxhash.Sum64String(string(name))) / math.MaxUint64
 }
 
 // resolve records or replaces the primary of a group.
--- a/node/local.go
+++ b/node/local.go
@@ -55,8 +55,9 @@
 	opinion := elect.Opinion{VM: n.config.Settings.VM, CommitAge: -1}
 	primary, _, known := n.cache.Snapshot().Primary(request.Group)
 	if known {
-		health := n.tracker.Health(primary.Name)
-		opinion.Reached = health.Failures == 0 && clock.Now().Sub(health.AnsweredAt) < freshAnswerAge
+		now := clock.Now()
+		health := n.tracker.Health(now, primary.Name)
+		opinion.Reached = health.Failures == 0 && now.Sub(health.AnsweredAt) < freshAnswerAge
 	}
 	opinion.Reached = opinion.Reached || n.server.PrimaryAnswers(request.Group)
 	now := clock.Now()
--- a/node/node.go
+++ b/node/node.go
@@ -150,13 +150,13 @@
 
 func (n *Node) newRelay() *peers.Relay {
 	s := n.config.Settings
-	return &peers.Relay{Self: s.VM, Domain: s.Domain, Seeds: func() []netip.AddrPort { return n.settings.Load().Seeds }, Cache: n.cache, Watcher: n.watcher, Samples: n.samples, Tracker: n.tracker, Client: peers.NewClient(), Log: n.config.Log}
+	return &peers.Relay{Self: s.VM, Domain: s.Domain, Rankings: n.rankings, Seeds: func() []netip.AddrPort { return n.settings.Load().Seeds }, Cache: n.cache, Watcher: n.watcher, Samples: n.samples, Tracker: n.tracker, Client: peers.NewClient(), Log: n.config.Log}
 }
 
 func (n *Node) newSupervisor() *coord.Supervisor {
 	s := n.config.Settings
 	return coord.New(coord.Config{
-		Self: s.VM, Boot: n.boot, Cache: n.cache, Tracker: n.tracker, Server: n.server, Client: peers.NewClient(), Responder: n,
+		Self: s.VM, Boot: n.boot, Cache: n.cache, Rankings: n.rankings, Tracker: n.tracker, Server: n.server, Client: peers.NewClient(), Responder: n,
 		Dialer: n.config.Dialer, Rows: n.config.OpenRows(), Promotions: n.config.Promotions,
 		LeaseTTL: leaseTTL, Log: n.config.Log, Metrics: n.config.Scope,
 	})
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -85,7 +85,7 @@
 	require.NoError(t, cache.ApplyRows(1, true, rows, now))
 	relays := map[model.VMID]*Relay{}
 	for _, name := range []model.VMID{"a", "b", "c"} {
-		relays[name] = &Relay{Self: name, Domain: "east", Cache: cache, Log: log.New(io.Discard)}
+		relays[name] = &Relay{Self: name, Domain: "east", Cache: cache, Rankings: state.NewRankings(cache), Log: log.New(io.Discard)}
 	}
 	readers := 0
 	for _, r := range relays {
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -4,12 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"github.com/crocusshore/crocusshore/clock"
-	"github.com/crocusshore/crocusshore/fleet"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/place"
 	"github.com/crocusshore/crocusshore/retry"
@@ -39,13 +39,15 @@
 	Self   model.VMID
 	Domain model.Domain
 	// Seeds returns peer addresses to ask while no other VM is registered in the cached state.
-	Seeds   func() []netip.AddrPort
-	Cache   *state.Cache
-	Watcher *watch.Watcher
-	Samples *sample.Samples
-	Tracker *place.Tracker
-	Client  *Client
-	Log     *log.Logger
+	Seeds func() []netip.AddrPort
+	Cache *state.Cache
+	// Rankings ranks the VMs of the failure domain as readers.
+	Rankings *state.Rankings
+	Watcher  *watch.Watcher
+	Samples  *sample.Samples
+	Tracker  *place.Tracker
+	Client   *Client
+	Log      *log.Logger
 
 	role watch.Role
 	// skipped counts the VMs that rank before the reader and are skipped since they did not keep the tables current; skippedAt is when
@@ -92,20 +94,13 @@
 	if now.Sub(r.skippedAt) > readerSkipTime {
 		r.skipped = 0
 	}
-	snapshot := r.Cache.Snapshot()
-	var sameDomain []model.VM
-	for name, vm := range snapshot.VMs {
-		if vm.Domain == r.Domain {
-			sameDomain = append(sameDomain, model.VM{ID: name})
-		}
-	}
-	ranked := fleet.Rank("reader", sameDomain)
-	rank, registered := fleet.Index(r.Self, ranked)
-	if !registered {
+	ranked := r.Rankings.Of(now, r.Domain, watch.ReaderRankKey)
+	rank := slices.IndexFunc(ranked, func(vm state.VM) bool { return vm.Name == r.Self })
+	if rank < 0 {
 		return state.VM{}, watch.RoleReader
 	}
 	at := r.skipped % len(ranked)
-	return snapshot.VMs[ranked[at].ID], watch.RoleAt(rank, at)
+	return ranked[at], watch.RoleAt(rank, at)
 }
 
 // skipReader skips a reader that does not keep the tables current, for example because the store rejects it. It does nothing if this
--- a/place/condition_test.go
+++ b/place/condition_test.go
@@ -71,7 +71,10 @@
 	}
 	candidate := Candidate{Instance: model.Instance{Name: "i"}}
 	require.True(t, vm.Assess(now, candidate).Failed)
+	require.True(t, vm.Health(now, "i").ReportedFailing)
+	require.False(t, vm.Health(now.Add(conditionTTL), "i").ReportedFailing, "a report expires")
 	vm.RecordAlive(now.Add(time.Millisecond), "i")
+	require.False(t, vm.Health(now.Add(2*time.Millisecond), "i").ReportedFailing)
 	require.False(t, vm.Assess(now.Add(2*time.Millisecond), candidate).Failed, "the answer is newer than the reported failure")
 	owner.RecordAlive(now, "i")
 	require.Empty(t, owner.Observed(now))
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -72,10 +72,10 @@
 	require.InDelta(t, 1, tracker.Assess(now.Add(slownessTTL+time.Second), slow).Slowness, 0.01)
 	tracker.RecordFailure(now, "slow")
 	require.True(t, tracker.Assess(now, slow).Failed)
-	require.Equal(t, 1, tracker.Health("slow").Failures)
+	require.Equal(t, 1, tracker.Health(now, "slow").Failures)
 	require.False(t, tracker.Assess(now.Add(failureTTL), slow).Failed)
 	tracker.RecordAlive(now, "slow")
-	require.Zero(t, tracker.Health("slow").Failures)
+	require.Zero(t, tracker.Health(now, "slow").Failures)
 }
 
 // TestFailingInstanceGetsOneAttemptPerInterval guards against waits for an unreachable instance: each statement for it waited for its
--- a/place/tracker.go
+++ b/place/tracker.go
@@ -61,6 +61,8 @@
 		AnsweredAt, FailingSince time.Time
 		// Failures counts failures since the last answer.
 		Failures int
+		// ReportedFailing is set if another VM reported lately that the instance fails, and it has not answered this VM since.
+		ReportedFailing bool
 	}
 )
 
@@ -125,11 +127,11 @@
 }
 
 // Health returns what this VM observed of an instance.
-func (t *Tracker) Health(instance model.InstanceName) Health {
+func (t *Tracker) Health(now time.Time, instance model.InstanceName) Health {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.stats(instance)
-	return Health{AnsweredAt: s.answeredAt, FailingSince: s.failingSince, Failures: s.failures}
+	return Health{AnsweredAt: s.answeredAt, FailingSince: s.failingSince, Failures: s.failures, ReportedFailing: s.isReportedFailing(now)}
 }
 
 // Assess returns the candidate with Slowness and Failed set from what this VM observed and what others reported.
@@ -144,11 +146,16 @@
 	c.Failed = !s.failedAt.IsZero() && now.Sub(s.failedAt) < failureTTL
 	if now.Sub(s.reportedAt) < conditionTTL {
 		c.Slowness = max(c.Slowness, s.reported.Slowness)
-		c.Failed = c.Failed || (s.reported.Failing && s.answeredAt.Before(s.reportedAt))
 	}
+	c.Failed = c.Failed || s.isReportedFailing(now)
 	return c
 }
 
+// isReportedFailing reports whether another VM lately observed the instance to fail, and it has not answered this VM since.
+func (s *instanceStats) isReportedFailing(now time.Time) bool {
+	return s.reported.Failing && now.Sub(s.reportedAt) < conditionTTL && s.answeredAt.Before(s.reportedAt)
+}
+
 func (t *Tracker) stats(instance model.InstanceName) *instanceStats {
 	s := t.instances[instance]
 	if s == nil {
--- a/serve/polls.go
+++ b/serve/polls.go
@@ -17,7 +17,8 @@
 		reader bool
 		// leased is set if the primary may be used now, and replacing if its replacement is announced.
 		leased, replacing bool
-		// primaryFailing is set if the primary has failed since its last answer.
+		// primaryFailing is set if the primary has failed since its last answer. For a reader it is set too if another VM reported that the
+		// primary fails, so that the reader establishes the failure soon.
 		primaryFailing bool
 		// hasRecentSample is set if the last sample is of the current term and recent enough.
 		hasRecentSample bool
--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -58,8 +58,10 @@
 	record := s.config.Cache.Snapshot().Primaries[group]
 	last, known := s.config.Samples.Last(group)
 	lease, leased := s.config.Cache.Lease(now, group)
+	health := s.config.Tracker.Health(now, record.Primary)
 	needs := requiredPolls(groupState{
-		reader: reader, leased: leased, replacing: record.Next != nil, primaryFailing: s.config.Tracker.Health(record.Primary).Failures > 0,
+		reader: reader, leased: leased, replacing: record.Next != nil,
+		primaryFailing: health.Failures > 0 || (reader && health.ReportedFailing),
 		hasRecentSample: known && last.Mark.Term == record.Term && now.Sub(last.At) < age, evidenceAge: s.config.Cache.LeaseEvidenceAge(now, group),
 	})
 	if needs == (polls{}) || !s.pollRounds.tryBegin(now, group) {
@@ -83,7 +85,7 @@
 
 // pauseAfter returns the pause after a round. It is short for a primary that just began to fail, so that its failure is established soon.
 func (s *Server) pauseAfter(primary model.InstanceName) time.Duration {
-	if failures := s.config.Tracker.Health(primary).Failures; failures > 0 && failures <= maxFastPollFailures {
+	if failures := s.config.Tracker.Health(clock.Now(), primary).Failures; failures > 0 && failures <= maxFastPollFailures {
 		return refreshInterval
 	}
 	return pollRoundPause
--- a/watch/role.go
+++ b/watch/role.go
@@ -19,8 +19,12 @@
 	RoleConsumer Role = "Served"
 )
 
-// standbyVMs is how many VMs that rank after the reader are on standby.
-const standbyVMs = 2
+const (
+	// ReaderRankKey is the key under which the VMs of a failure domain are ranked as readers; the first of them is the reader.
+	ReaderRankKey = "reader"
+	// standbyVMs is how many VMs that rank after the reader are on standby.
+	standbyVMs = 2
+)
 
 // RoleAt returns the role of the VM at a rank if the VM at rank reader reads the store. VMs that rank before the reader are on standby.
 func RoleAt(rank, reader int) Role {
