Teams are divided among sixteen admitting roles a failure domain

Bytes between failure domains are dear on the large deployment. Change: a team's role is its hash modulo 16, the same in all failure domains, so that the reports of many teams travel in one datagram between the same VMs. Ruled out: fewer reports a second (shares would settle later); one admitting VM a failure domain (its loss would stop all teams for 40 ms a request). After: at most 320 pairs at any number of VMs and teams (same test). During a rolling upgrade old and new processes choose different VMs, so that a team may get up to twice its rate until it is over.

--- a/peers/ratelimiter_test.go
+++ b/peers/ratelimiter_test.go
@@ -133,3 +133,35 @@
 	f.limiters["0-0"].deliverReply(admissionReply{ID: 77, Verdict: share.Decision{Admitted: true}})
 	require.Empty(t, f.limiters["0-0"].pending)
 }
+
+// TestReportsOfDemandDoNotGrowWithVMsAndTeams guards against traffic between failure domains that grows with the fleet. Each team had an
+// admitting VM of its own in each failure domain, so that at 295 VMs with 190 teams nearly every such pair of VMs reported to each other.
+func TestReportsOfDemandDoNotGrowWithVMsAndTeams(t *testing.T) {
+	const domains, most = 5, 16
+	for _, c := range []struct{ vms, teams int }{{30, 20}, {295, 190}, {930, 600}} {
+		cache := state.New(state.Config{VM: "vm"})
+		var rows []model.StoredRow
+		for i := range c.vms {
+			row, err := state.VM{Name: model.VMID(fmt.Sprint(i)), Domain: model.Domain(fmt.Sprint(i % domains))}.Row()
+			require.NoError(t, err)
+			rows = append(rows, row)
+		}
+		now := clock.Now()
+		require.NoError(t, cache.ApplyRows(1, true, rows, now))
+		rankings := state.NewRankings(cache)
+		pairs := map[[2]model.VMID]bool{}
+		for team := range c.teams {
+			role := share.AdmitterRole(model.TeamName(fmt.Sprint("team-", team)))
+			for from := range domains {
+				for to := range domains {
+					if from != to {
+						a := rankings.Of(now, model.Domain(fmt.Sprint(from)), role)[0].Name
+						b := rankings.Of(now, model.Domain(fmt.Sprint(to)), role)[0].Name
+						pairs[[2]model.VMID{a, b}] = true
+					}
+				}
+			}
+		}
+		require.LessOrEqual(t, len(pairs), most*domains*(domains-1), "%d VMs, %d teams", c.vms, c.teams)
+	}
+}
--- a/share/admitter.go
+++ b/share/admitter.go
@@ -1,19 +1,29 @@
 package share
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/policy"
 )
 
-// firstTokenIntervals is how long a bucket has to fill for its first token, in intervals between tokens at an even share of the rate. It
-// is above 1 because the actual share is at times a little lower.
-const firstTokenIntervals = 1.1
+const (
+	// firstTokenIntervals is how long a bucket has to fill for its first token, in intervals between tokens at an even share of the rate. It
+	// is above 1 because the actual share is at times a little lower.
+	firstTokenIntervals = 1.1
+	// admitterRoles is the number of roles among which the teams are divided. VMs that admit for the same teams in different failure domains
+	// report their demand to each other, so this number, and not that of the teams, bounds the messages between failure domains.
+	admitterRoles = 16
+)
 
 // AdmitterRole returns the name of the role to admit the operations of a team in a failure domain. The first VM in the ranking for the
-// role has it.
-func AdmitterRole(team model.TeamName) string { return "rate " + string(team) }
+// role has it, for all teams of the role. The name depends on the team alone, so that all VMs find the same one.
+func AdmitterRole(team model.TeamName) string {
+	return "rate " + strconv.FormatUint(xxhash.Sum64String(string(team))%admitterRoles, 10)
+}
 
 // FallbackLimits returns the limits within which a VM may admit operations of a team while no VM that admits for the team answers. With
 // them the VMs of a failure domain together do not exceed its even share of the rate and the burst.
