A VM that is not registered yet is served by those that are

Ruled out: registrations in a part of the table for each failure domain (each start would read five more pages). The new test fails on the old code (the VM takes the role of a reader).

--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -107,3 +107,29 @@
 		require.Equal(t, first.Name, again.Name, "the first is asked again later")
 	}
 }
+
+// TestVMThatIsNotRegisteredYetIsServed guards against a start of hundreds of VMs in which each follows the store's changes until its own
+// registration is in effect: 295 VMs register at 200 a second, and each made about 17 calls.
+func TestVMThatIsNotRegisteredYetIsServed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cache := state.New(state.Config{VM: "new"})
+	r := &Relay{Self: "new", Domain: "east", Cache: cache, Rankings: state.NewRankings(cache), Log: log.New(io.Discard)}
+	_, role := r.chooseReader(now)
+	require.Equal(t, watch.RoleReader, role, "no other VM is known")
+	register := func(version int64, name model.VMID, domain model.Domain) {
+		row, err := state.VM{Name: name, Domain: domain}.Row()
+		require.NoError(t, err)
+		row.Version = version
+		require.NoError(t, cache.ApplyRows(version, false, []model.StoredRow{row}, now))
+	}
+	register(1, "west-1", "west")
+	_, role = r.chooseReader(now)
+	require.Equal(t, watch.RoleReader, role, "no VM of the failure domain is known")
+	register(2, "east-1", "east")
+	reader, role := r.chooseReader(now)
+	require.Equal(t, model.VMID("east-1"), reader.Name)
+	require.Equal(t, watch.RoleConsumer, role)
+	register(3, "new", "east")
+	_, role = r.chooseReader(now)
+	require.NotEqual(t, watch.RoleConsumer, role, "the first of two reads, the second is on standby")
+}
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -88,18 +88,22 @@
 	r.Watcher.SetRole(role)
 }
 
-// chooseReader returns the VM that reads the store for this one, and this VM's own role. A VM that is the reader asks no other VM.
+// chooseReader returns the VM that reads the store for this one, and this VM's own role. A VM that is the reader asks no other VM. A VM that is
+// not registered yet is served by those that are, so that VMs which start together do not all follow the store's changes.
 // It stops skipping VMs once the last skip is older than readerSkipTime.
 func (r *Relay) chooseReader(now time.Time) (state.VM, watch.Role) {
 	if now.Sub(r.skippedAt) > readerSkipTime {
 		r.skipped = 0
 	}
 	ranked := r.Rankings.Of(now, r.Domain, watch.ReaderRankKey)
-	rank := slices.IndexFunc(ranked, func(vm state.VM) bool { return vm.Name == r.Self })
-	if rank < 0 {
+	if len(ranked) == 0 {
 		return state.VM{}, watch.RoleReader
 	}
 	at := r.skipped % len(ranked)
+	rank := slices.IndexFunc(ranked, func(vm state.VM) bool { return vm.Name == r.Self })
+	if rank < 0 {
+		return ranked[at], watch.RoleConsumer
+	}
 	return ranked[at], watch.RoleAt(rank, at)
 }
 
