After a start of all VMs the first buckets hold what the limit on a window leaves

The buckets began empty, so that a small team waited for seconds for its first token in each failure domain. Change: when all VMs started together, a failure domain's first bucket of a team holds its part of a quarter of the slack and of half of the excess that the limit on a window allows; in return bursts use 0.7 of the slack, not 0.9. Ruled out: a row with the use of each team (5 calls a second; known use bounds the rest better, but the unknown last second may have taken the burst); the time that the VMs were down (nobody knows it).

--- a/node/node.go
+++ b/node/node.go
@@ -91,7 +91,9 @@
 	n.cache = state.New(state.Config{VM: s.VM, Boot: n.boot, LeaseTTL: leaseTTL})
 	n.pool = conns.New(conns.Config{Dialer: config.Dialer, Formatter: platform.StatementFormatter{}, Budget: n.connectionBudget})
 	n.rankings = state.NewRankings(n.cache)
-	domainLimiter := share.New(clock.Now(), share.Config{Weight: n.weight, Team: n.team, Slack: s.RateSlack})
+	domainLimiter := share.New(clock.Now(), share.Config{
+		Weight: n.weight, Team: n.team, Slack: s.RateSlack, Excess: s.RateExcess, Window: s.RateWindow,
+	})
 	n.limiter = peers.NewRateLimiter(clock.Now(), peers.RateLimiterConfig{
 		Self: s.VM, Domain: s.Domain, Rankings: n.rankings, Limiter: domainLimiter, Team: n.team, Log: config.Log,
 	})
--- a/peers/ratelimiter.go
+++ b/peers/ratelimiter.go
@@ -100,7 +100,7 @@
 	}
 	vms, domains := r.config.Rankings.Counts(now, r.config.Domain)
 	limits = share.FallbackLimits(limits, domains, vms)
-	decision := r.fallback.Admit(now, limits, share.FirstTokenStart(now, limits, 1))
+	decision := r.fallback.Admit(now, limits, share.BucketStart{FillFrom: share.FirstTokenStart(now, limits, 1)})
 	decision.By = r.config.Self
 	r.config.Log.Info("admission decided without other VMs", "team", limits.Name, "admitted", decision.Admitted, "part", decision.Part)
 	return decision
@@ -113,20 +113,20 @@
 	return decision
 }
 
-// bucketStart returns the instant from which a new bucket of a team fills. If this VM stands in for the VM that ranks first for the team,
-// the bucket has one token now. If this VM ranks first itself, the bucket had one token when the set of VMs last changed. A change
-// within startupWindow of this VM's start means that the VMs started together; then the bucket fills from that start.
-func (r *RateLimiter) bucketStart(now time.Time, limits policy.Team) time.Time {
+// bucketStart returns how a new bucket of a team begins. If this VM stands in for the VM that ranks first for the team, the bucket has one
+// token now. If this VM ranks first itself, the bucket had one token when the set of VMs last changed. A change within startupWindow of this
+// VM's start means that the VMs started together; then the bucket fills from that start.
+func (r *RateLimiter) bucketStart(now time.Time, limits policy.Team) share.BucketStart {
 	_, domains := r.config.Rankings.Counts(now, r.config.Domain)
 	ranked := r.config.Rankings.Of(now, r.config.Domain, share.AdmitterRole(limits.Name))
 	if len(ranked) == 0 || ranked[0].Name != r.config.Self {
-		return share.FirstTokenStart(now, limits, domains)
+		return share.BucketStart{FillFrom: share.FirstTokenStart(now, limits, domains)}
 	}
 	changedAt := r.config.Rankings.ChangedAt(now)
 	if changedAt.Sub(r.started) < startupWindow {
-		return r.started
+		return share.BucketStart{FillFrom: r.started, AfterStart: true}
 	}
-	return share.FirstTokenStart(changedAt, limits, domains)
+	return share.BucketStart{FillFrom: share.FirstTokenStart(changedAt, limits, domains)}
 }
 
 // askAdmission requests a decision from another VM. It returns false if the VM does not answer within admissionTimeout, or did not do so
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -33,9 +33,18 @@
 		Weight func() float64
 		// Team returns the limits of a team, and whether it exists.
 		Team func(name model.TeamName) (policy.Team, bool)
-		// Slack is how many operations of a team beyond its rate and burst all VMs together may admit in a window; it enlarges the bursts
-		// of the failure domains.
-		Slack float64
+		// Slack is how many operations of a team beyond its rate and burst all VMs together may admit in a Window, and Excess is how much more
+		// as a share of its rate and burst. They enlarge the bursts of the failure domains and fill the first buckets after a start.
+		Slack, Excess float64
+		Window        time.Duration
+	}
+
+	// BucketStart is how a bucket begins that a VM did not have before.
+	BucketStart struct {
+		// FillFrom is the instant from which it fills.
+		FillFrom time.Time
+		// AfterStart is set if all VMs started together, so that no other VM admits for the team; see StartTokens.
+		AfterStart bool
 	}
 
 	// Limiter admits operations within a VM's share of each team's rate; it is safe for concurrent use.
@@ -89,27 +98,30 @@
 	return &Limiter{config: config, started: now, teams: map[model.TeamName]*team{}}
 }
 
-// Admit spends a token of a team, or returns when the next one is available. A bucket that this VM did not have before fills from fillFrom on,
-// which is when this VM became the one that admits for the team.
-func (l *Limiter) Admit(now time.Time, limits policy.Team, fillFrom time.Time) Decision {
+// Admit spends a token of a team, or returns when the next one is available. A bucket that this VM did not have before begins as start says.
+func (l *Limiter) Admit(now time.Time, limits policy.Team, start BucketStart) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.team(limits.Name, fillFrom)
+	t := l.team(limits, start)
 	domainRate, _ := l.refill(now, limits, t)
 	t.demand.count(now)
 	after, ok := t.bucket.take(domainRate)
 	return Decision{Admitted: ok, RetryAfter: after, Part: domainRate, Demand: t.demand.read(now), Fleet: l.othersDemand(now, limits.Name)}
 }
 
-func (l *Limiter) team(name model.TeamName, fillFrom time.Time) *team {
-	t := l.teams[name]
-	if t == nil {
-		if fillFrom.Before(l.started) {
-			fillFrom = l.started
-		}
-		t = &team{bucket: bucket{filledAt: fillFrom}}
-		l.teams[name] = t
+func (l *Limiter) team(limits policy.Team, start BucketStart) *team {
+	t := l.teams[limits.Name]
+	if t != nil {
+		return t
+	}
+	if start.FillFrom.Before(l.started) {
+		start.FillFrom = l.started
+	}
+	t = &team{bucket: bucket{filledAt: start.FillFrom}}
+	if start.AfterStart {
+		t.bucket.tokens = StartTokens(limits, l.config, l.config.Weight())
 	}
+	l.teams[limits.Name] = t
 	return t
 }
 
--- a/share/split.go
+++ b/share/split.go
@@ -25,7 +25,11 @@
 
 const (
 	// slackShare is the share of the slack that the bursts of the failure domains use.
-	slackShare = 0.9
+	slackShare = 0.7
+	// startSlackShare and startExcessShare are the shares of the slack and of the excess that the first buckets after a start hold. With the
+	// bursts they leave half of the excess for a second start within a window.
+	startSlackShare  = 0.25
+	startExcessShare = 0.5
 	// evenBurstShare is the share of the burst that is divided by the weights; the rest is divided by the shares of the rate.
 	evenBurstShare = 0.4
 )
@@ -36,3 +40,10 @@
 	all := limits.Burst + slackShare*slack
 	return max(1, all*(evenBurstShare*weight+(1-evenBurstShare)*domainRate/max(limits.Rate, domainRate, 1e-9)))
 }
+
+// StartTokens returns the tokens that a failure domain holds of a team when all VMs have just started. They do not know what they admitted
+// before, which may be the whole burst, but the limit on a window allows some operations beyond the rate and the burst.
+func StartTokens(limits policy.Team, c Config, weight float64) float64 {
+	usual := limits.Rate*c.Window.Seconds() + limits.Burst
+	return weight * (startSlackShare*c.Slack + startExcessShare*c.Excess*usual)
+}
--- a/share/transfer.go
+++ b/share/transfer.go
@@ -49,9 +49,9 @@
 	return requests
 }
 
-// GrantTokens takes tokens that this VM does not need soon out of its bucket and returns them; they may be none. For fillFrom,
+// GrantTokens takes tokens that this VM does not need soon out of its bucket and returns them; they may be none. For start,
 // see Admit.
-func (l *Limiter) GrantTokens(now time.Time, self model.VMID, request TokenTransfer, fillFrom time.Time) TokenTransfer {
+func (l *Limiter) GrantTokens(now time.Time, self model.VMID, request TokenTransfer, start BucketStart) TokenTransfer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	grant := TokenTransfer{VM: self, Team: request.Team}
@@ -59,7 +59,7 @@
 	if !known {
 		return grant
 	}
-	t := l.team(request.Team, fillFrom)
+	t := l.team(limits, start)
 	l.refill(now, limits, t)
 	spare := t.bucket.tokens
 	if demand := t.demand.read(now); demand >= minTransferDemand {
@@ -80,7 +80,7 @@
 	if !known || grant.Tokens <= 0 {
 		return
 	}
-	t := l.team(grant.Team, now)
+	t := l.team(limits, BucketStart{FillFrom: now})
 	_, size := l.refill(now, limits, t)
 	t.bucket.tokens = min(size, t.bucket.tokens+grant.Tokens)
 }
