A VM that starts takes its role before it waits for changes of the store's tables

Change: a VM that is the reader checks its role every 50 ms, and the watcher pauses after the first read of a table even if it has no rows. Ruled out: fewer first reads (the tables may not be had from a peer yet).

--- a/peers/relay.go
+++ b/peers/relay.go
@@ -25,6 +25,9 @@
 	relayTimeout = 400 * time.Millisecond
 	// relayPause is the pause after a request without an answer, and between requests whose answer is not held back.
 	relayPause = 300 * time.Millisecond
+	// roleCheckInterval is the interval at which a reader checks whether it still is one. It is shorter than the pause of the watcher after
+	// the first read, so that a VM that starts follows the store's changes only if it is the reader.
+	roleCheckInterval = 50 * time.Millisecond
 	// maxRelayedAge is how stale the tables may get before VMs of other failure domains are asked too.
 	maxRelayedAge = 1400 * time.Millisecond
 	// maxClockDrift bounds how much faster than the local clock a peer's clock may run, as a share of the elapsed time.
@@ -74,7 +77,7 @@
 			r.fetchFromAnyPeer(ctx, turn)
 			retry.Sleep(ctx, relayPause)
 		default:
-			retry.Sleep(ctx, relayPause)
+			retry.Sleep(ctx, roleCheckInterval)
 		}
 	}
 }
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -30,8 +30,10 @@
 	// freshCheckInterval is the interval at which the staleness of a table that peers keep current is checked.
 	freshCheckInterval = 100 * time.Millisecond
 	// startupWindow is the time after the start of a VM during which others that started at the same time may still register.
-	startupWindow    = 5 * time.Second
-	startupPollPause = 150 * time.Millisecond // Follows each change in that time, so that not every registration causes a call by every VM.
+	startupWindow = 5 * time.Second
+	// startupPollPause follows each change in that time, so that not every registration causes a call by every VM. It also follows the first
+	// read of a table, so that the VM has its role before it waits for changes.
+	startupPollPause = 150 * time.Millisecond
 	// registrationGracePeriod is how long an instance stays in use after its registration is gone.
 	registrationGracePeriod = 2300 * time.Millisecond // One that expired while the store was unreachable is renewed within two seconds.
 )
@@ -122,10 +124,10 @@
 		}
 		failures = w.recordSuccess(table, failures)
 		w.Apply(table, page, full, storeTime.observe(sentAt, page.StoreTime))
-		full = false
-		if len(page.Rows) > 0 && clock.Now().Sub(startedAt) < startupWindow {
+		if (full || len(page.Rows) > 0) && clock.Now().Sub(startedAt) < startupWindow {
 			retry.Sleep(ctx, startupPollPause)
 		}
+		full = false
 	}
 }
 
