Own registrations are read at once; operations that cannot be placed use no token

Cause: after a start of all VMs a VM may use no primary until it sees its own registration, and waited for the reader of its failure domain to pass it on. Change: after the write of its row a VM reads the store's table itself up to that version. An operation that no instance can take is rejected, after the wait that it is allowed, before it counts toward the rate of its team. Ruled out: a return of tokens (a message to another VM for each rejection); leases under the row of the old process (its removal may be performed late).

--- a/node/node.go
+++ b/node/node.go
@@ -111,7 +111,7 @@
 		OnRemoved: n.pool.Drop,
 	})
 	self := state.VM{Name: s.VM, Domain: s.Domain, Peers: s.Peers, Gossip: n.firstPortAddress(), Boot: n.boot}
-	n.registrar = &peers.Registrar{Self: self, Rows: config.OpenRows(), Cache: n.cache, Log: config.Log}
+	n.registrar = &peers.Registrar{Self: self, Rows: config.OpenRows(), Cache: n.cache, Log: config.Log, OnWritten: n.watcher.RequireVersion}
 	return n
 }
 
--- a/peers/registrar.go
+++ b/peers/registrar.go
@@ -25,6 +25,8 @@
 	Rows  model.RowStore
 	Cache *state.Cache
 	Log   *log.Logger
+	// OnWritten is called with the version at which the row was written.
+	OnWritten func(version int64)
 
 	failing  bool
 	stopping atomic.Bool
@@ -56,6 +58,9 @@
 		version, err = r.Rows.Apply(ctx, model.Change{Writes: []model.StoredRow{row}})
 		r.writtenVersion = max(r.writtenVersion, version)
 	}
+	if err == nil {
+		r.OnWritten(r.writtenVersion)
+	}
 	if (err != nil) != r.failing {
 		r.failing = err != nil
 		r.Log.Warn("write of this VM's registration", "failing", r.failing, "error", err)
--- a/peers/registrar_test.go
+++ b/peers/registrar_test.go
@@ -20,7 +20,7 @@
 func TestRowIsWrittenOnceUntilTheTableIsCached(t *testing.T) {
 	rows := stand.NewRows()
 	cache := state.New(state.Config{VM: "vm", Boot: "boot"})
-	r := &Registrar{Self: state.VM{Name: "vm", Domain: "east", Boot: "boot"}, Rows: rows.Client("vm"), Cache: cache, Log: log.New(io.Discard)}
+	r := &Registrar{Self: state.VM{Name: "vm", Domain: "east", Boot: "boot"}, Rows: rows.Client("vm"), Cache: cache, Log: log.New(io.Discard), OnWritten: func(int64) {}}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go r.Run(ctx)
--- a/peers/relay_test.go
+++ b/peers/relay_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"context"
 	"io"
 	"net/http/httptest"
 	"net/netip"
@@ -78,3 +79,26 @@
 	require.Equal(t, []state.TermCheck{{Group: "g", Term: 2}}, cache.TermChecks(now, time.Second))
 	require.Empty(t, cache.TermChecks(now.Add(time.Second), time.Second))
 }
+
+// TestStartingVMTakesItsRoleSoon guards against a VM that follows the store's changes for a while after its start although another VM of its
+// failure domain does: it looked for one only every 300 ms.
+func TestStartingVMTakesItsRoleSoon(t *testing.T) {
+	const soon = 120 * time.Millisecond
+	cache := state.New(state.Config{VM: "vm"})
+	rows := stand.NewRows()
+	watcher := watch.New(watch.Config{Open: func() model.RowStore { return rows.Client("vm") }, Cache: cache, Log: log.New(io.Discard)})
+	r := &Relay{
+		Self: "vm", Domain: "east", Cache: cache, Rankings: state.NewRankings(cache), Watcher: watcher, Samples: sample.New(), Tracker: place.NewTracker(),
+		Seeds: func() []netip.AddrPort { return nil }, Client: NewClient(), Log: log.New(io.Discard),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go r.Run(ctx)
+	time.Sleep(20 * time.Millisecond)
+	require.Equal(t, watch.RoleReader, watcher.Role(), "no other VM is known")
+	row, err := state.VM{Name: "other", Domain: "east"}.Row()
+	require.NoError(t, err)
+	row.Version = 1
+	require.NoError(t, cache.ApplyRows(1, true, []model.StoredRow{row}, clock.Now()))
+	require.Eventually(t, func() bool { return watcher.Role() == watch.RoleConsumer }, soon, 5*time.Millisecond)
+}
--- /dev/null
+++ b/serve/admit_test.go
@@ -0,0 +1,66 @@
+package serve
+
+import (
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/conns"
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/place"
+	"github.com/crocusshore/crocusshore/policy"
+	"github.com/crocusshore/crocusshore/sample"
+	"github.com/crocusshore/crocusshore/share"
+	"github.com/crocusshore/crocusshore/state"
+)
+
+// countingLimiter admits every operation and counts them.
+type countingLimiter struct{ asked int }
+
+func (l *countingLimiter) Admit(time.Time, policy.Team) share.Decision {
+	l.asked++
+	return share.Decision{Admitted: true}
+}
+
+// TestOperationThatNoInstanceCanTakeUsesNoToken guards against teams that run out of tokens after a start of all VMs: VMs that may not use
+// any primary yet rejected operations after each had taken a token of its team, and so did the repeated attempts.
+func TestOperationThatNoInstanceCanTakeUsesNoToken(t *testing.T) {
+	cache := state.New(state.Config{VM: "vm", Boot: "boot", LeaseTTL: time.Second})
+	route := policy.Route{Name: "r", Database: "quote", Group: "g", Consistency: policy.ConsistencySession, MaxAge: time.Second, TargetLatency: 200 * time.Millisecond}
+	cache.SetPolicy(1, &policy.Policy{
+		Routes: map[string]policy.Route{"quote": route}, Keys: map[string]model.TeamName{"key": "team"}, Teams: map[model.TeamName]policy.Team{"team": {Name: "team", Rate: 10}},
+	})
+	cache.ApplyInstances(1, true, []model.Instance{{Name: "p", Group: "g", Address: netip.MustParseAddrPort("10.0.0.1:1"), Role: model.RolePrimary}}, nil, clock.Now())
+	limiter := &countingLimiter{}
+	s := New(Config{
+		Cache: cache, Pool: conns.New(conns.Config{}), Samples: sample.New(), Tracker: place.NewTracker(), Limiter: limiter, Log: log.New(io.Discard),
+		Metrics: tally.NoopScope, RetryDetail: func(reason string, _ time.Duration) string { return reason },
+	})
+	c := newCallerSession(s, nil)
+	c.hello = model.Hello{Database: "quote", Key: "key"}
+	for _, primary := range []bool{true, false} {
+		start := clock.Now()
+		op := c.admitOperation(start, primary)
+		require.Equal(t, model.FaultBusy, op.refusal.Fault)
+		require.Positive(t, op.refusal.RetryAfter)
+		require.Less(t, clock.Now().Sub(start), 4*op.maxWait())
+	}
+	require.Zero(t, limiter.asked)
+
+	registration, err := state.VM{Name: "vm", Boot: "boot"}.Row()
+	require.NoError(t, err)
+	record, err := state.PrimaryRecord{Group: "g", Term: 1, Primary: "p"}.Row()
+	require.NoError(t, err)
+	registration.Version, record.Version = 1, 1
+	require.NoError(t, cache.ApplyRows(1, true, []model.StoredRow{registration, record}, clock.Now()))
+	for _, primary := range []bool{true, false} {
+		require.Empty(t, c.admitOperation(clock.Now(), primary).refusal.Fault)
+	}
+	require.Equal(t, 2, limiter.asked)
+}
--- a/serve/pick.go
+++ b/serve/pick.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/place"
@@ -60,6 +61,30 @@
 	return targets
 }
 
+// awaitInstance reports whether an instance may take the operation now, only the primary if primary is set. While none may, it waits as long as
+// the operation may wait for an instance.
+func (c *callerSession) awaitInstance(op operation, primary bool) bool {
+	waitUntil := op.startedAt.Add(op.maxWait())
+	for {
+		now := clock.Now()
+		if c.hasInstance(now, op, primary) {
+			return true
+		}
+		if !now.Before(waitUntil) {
+			return false
+		}
+		time.Sleep(leasePollInterval)
+	}
+}
+
+func (c *callerSession) hasInstance(now time.Time, op operation, primary bool) bool {
+	if primary {
+		_, leased := c.server.config.Cache.Lease(now, op.route.Group)
+		return leased
+	}
+	return len(c.server.rankInstances(now, op, c.session.LastCommit(op.route.Group))) > 0
+}
+
 // errRecentlyFailed reports an instance with consecutive failures whose next attempt is not due yet; nothing was sent.
 var errRecentlyFailed = errors.New("the instance failed recently and its next attempt is not due yet")
 
--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -61,7 +61,7 @@
 	health := s.config.Tracker.Health(now, record.Primary)
 	needs := requiredPolls(groupState{
 		reader: reader, leased: leased, replacing: record.Next != nil,
-		primaryFailing: health.Failures > 0 || (reader && health.ReportedFailing),
+		primaryFailing:  health.Failures > 0 || (reader && health.ReportedFailing),
 		hasRecentSample: known && last.Mark.Term == record.Term && now.Sub(last.At) < age, evidenceAge: s.config.Cache.LeaseEvidenceAge(now, group),
 	})
 	if needs == (polls{}) || !s.pollRounds.tryBegin(now, group) {
--- a/serve/session.go
+++ b/serve/session.go
@@ -191,8 +191,9 @@
 	endSession bool
 }
 
-// admitOperation checks key, route and rate; see operation.refusal for a rejected operation.
-func (c *callerSession) admitOperation(now time.Time) operation {
+// admitOperation checks key, route and rate; see operation.refusal for a rejected operation. An operation that no instance can take is
+// rejected before it counts toward the rate of its team; primary is set if only the primary can take it.
+func (c *callerSession) admitOperation(now time.Time, primary bool) operation {
 	route, team, fault := c.admit()
 	op := operation{route: route, team: team, startedAt: now, policyVersion: c.policyVersion()}
 	if fault != "" {
@@ -201,11 +202,15 @@
 		return op
 	}
 	c.server.readDemand.record(now, route)
+	if !c.awaitInstance(op, primary) {
+		op.refusal = c.server.refuse(model.FaultBusy, "no instance can take the operation now", defaultRetryAfter)
+		return op
+	}
 	limits, known := c.server.config.Cache.Snapshot().Policy.Teams[team]
 	if !known {
 		return op
 	}
-	decision := c.server.config.Limiter.Admit(now, limits)
+	decision := c.server.config.Limiter.Admit(clock.Now(), limits)
 	op.decidedBy = decision.By
 	if !decision.Admitted {
 		reason := fmt.Sprintf("over the rate of the team rate=%.1f part=%.1f demand=%.1f others=%.1f",
@@ -237,7 +242,7 @@
 	if fault != "" {
 		return model.Reply{Fault: fault, Detail: command.Name}, false
 	}
-	op := c.admitOperation(now)
+	op := c.admitOperation(now, statement.write)
 	if op.refusal.Fault != "" {
 		c.report(op, command, "", op.refusal, 0)
 		return op.refusal, op.endSession
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -28,7 +28,7 @@
 	if c.session.State != model.TxNone {
 		return badMessage("a transaction is open"), false
 	}
-	op := c.admitOperation(clock.Now())
+	op := c.admitOperation(clock.Now(), !command.ReadOnly)
 	if op.refusal.Fault != "" {
 		c.report(op, command, "", op.refusal, 0)
 		return op.refusal, op.endSession
--- a/watch/start_test.go
+++ b/watch/start_test.go
@@ -30,13 +30,12 @@
 }
 
 // TestStartOfAVMThatIsServedReadsEachTableOnce guards against calls to the store that grow with the VMs: a VM that started waited for
-// changes of three tables before it knew that another VM follows them.
+// changes of a table, here that of the VMs which has no rows yet, before it knew that another VM follows them.
 func TestStartOfAVMThatIsServedReadsEachTableOnce(t *testing.T) {
 	const roleKnownAfter, watched = 60 * time.Millisecond, 400 * time.Millisecond
 	rows := stand.NewRows()
 	rows.Put(settingsTable, settingsKey, []byte("1"))
 	rows.Put(instancesTable, "i-1", []byte("g"))
-	rows.Put(state.Table, "vm/other", []byte(`{"Domain":"east"}`))
 	var calls atomic.Int64
 	watcher, _ := newWatcher(rows, "vm")
 	open := watcher.config.Open
@@ -47,3 +46,18 @@
 	time.Sleep(watched)
 	require.EqualValues(t, 3, calls.Load())
 }
+
+// TestVMReadsItsOwnRegistrationAtOnce guards against a VM that cannot use any primary for a second and more after it has registered: it
+// waited until the reader of its failure domain, which was busy with many VMs that had started, passed its row on.
+func TestVMReadsItsOwnRegistrationAtOnce(t *testing.T) {
+	const soon = 250 * time.Millisecond
+	rows := stand.NewRows()
+	watcher, cache := newWatcher(rows, "vm")
+	watcher.SetRole(RoleConsumer)
+	start(t, watcher)
+	rows.Put(state.Table, "vm/other", []byte(`{"Domain":"east"}`))
+	require.Eventually(t, func() bool { return cache.Snapshot().VMs["other"].Domain == "east" }, 2*time.Second, 5*time.Millisecond)
+	rows.Put(state.Table, "vm/vm", []byte(`{"Domain":"east"}`))
+	watcher.RequireVersion(rows.Row(state.Table, "vm/vm").Version)
+	require.Eventually(t, func() bool { return cache.Snapshot().VMs["vm"].Domain == "east" }, soon, 5*time.Millisecond)
+}
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -66,6 +66,7 @@
 		cached           map[model.TableName]*cachedTable
 		unreadableTables atomic.Int32         // Counts the tables that cannot be read from the store.
 		role             atomic.Pointer[Role] // This VM's role in reading the store for its failure domain.
+		requiredVersion  atomic.Int64         // See RequireVersion.
 
 		mu      sync.Mutex
 		changed chan struct{} // Closed and replaced whenever rows of a table change.
@@ -105,7 +106,7 @@
 	for ctx.Err() == nil {
 		sentAt := clock.Now()
 		role := w.Role()
-		if role != RoleReader && w.cached[table].isFresherThan(sentAt, role.maxAge(maxAge)) {
+		if role != RoleReader && !w.isBehind(table) && w.cached[table].isFresherThan(sentAt, role.maxAge(maxAge)) {
 			failures = w.recordSuccess(table, failures)
 			retry.Sleep(ctx, freshCheckInterval)
 			continue
@@ -165,6 +166,16 @@
 // Role returns this VM's role in reading the store for its failure domain.
 func (w *Watcher) Role() Role { return *w.role.Load() }
 
+// RequireVersion makes a VM that other VMs serve read the program's own table from the store, unless it has it at the given version. After the
+// VM has written its registration, it should not wait until the reader of its failure domain passes the row on.
+func (w *Watcher) RequireVersion(version int64) { w.requiredVersion.Store(version) }
+
+// isBehind reports whether a table is older than the version that RequireVersion asks for.
+func (w *Watcher) isBehind(table model.TableName) bool {
+	version, _ := w.cached[table].versionAndTime()
+	return table == state.Table && version < w.requiredVersion.Load()
+}
+
 // HasUnreadableTable reports whether a table cannot be read from the store now. Unless this VM is the reader, a table that peers keep
 // current does not count.
 func (w *Watcher) HasUnreadableTable() bool { return w.unreadableTables.Load() > 0 }
