Of replicas that could take over, one in a failure domain with few primaries is chosen

The replica whose answer came first took over, one near the VM that replaces primaries. Since one reader does so for all groups, primaries gather in its failure domain, here in the one that is isolated ten seconds later. Change: answers of replicas are sorted by the number of other primaries in their failure domain, then by name.

--- a/coord/compare.go
+++ b/coord/compare.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 	"github.com/crocusshore/crocusshore/elect"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/retry"
+	"github.com/crocusshore/crocusshore/state"
 )
 
 // choose waits until a replica can take over without losing an acknowledged commit.
@@ -108,16 +111,39 @@
 			continue
 		}
 		wait.Go(func() {
-			state, err := r.s.callInstance(instance, run)
+			reported, err := r.s.callInstance(instance, run)
 			mu.Lock()
 			defer mu.Unlock()
-			replicas = append(replicas, elect.Replica{Instance: instance, Paused: err == nil, PausedTerm: state.Held, Received: state.Received})
+			replicas = append(replicas, elect.Replica{Instance: instance, Paused: err == nil, PausedTerm: reported.Held, Received: reported.Received})
 		})
 	}
 	wait.Wait()
+	sortBySpread(replicas, primariesByDomain(r.s.config.Cache.Snapshot(), r.group))
 	return replicas
 }
 
+// primariesByDomain counts the primaries of the other groups in each failure domain.
+func primariesByDomain(snapshot *state.Snapshot, except model.GroupName) map[model.Domain]int {
+	counts := map[model.Domain]int{}
+	for group := range snapshot.Primaries {
+		if primary, _, registered := snapshot.Primary(group); registered && group != except {
+			counts[primary.Domain]++
+		}
+	}
+	return counts
+}
+
+// sortBySpread sorts replicas so that those in failure domains with few primaries come first: of replicas that could all take over, the first
+// is chosen, and the loss of a failure domain should not take most primaries with it.
+func sortBySpread(replicas []elect.Replica, primaries map[model.Domain]int) {
+	slices.SortFunc(replicas, func(a, b elect.Replica) int {
+		if byCount := primaries[a.Instance.Domain] - primaries[b.Instance.Domain]; byCount != 0 {
+			return byCount
+		}
+		return strings.Compare(string(a.Instance.Name), string(b.Instance.Name))
+	})
+}
+
 func describe(replicas []elect.Replica) []string {
 	lines := make([]string, 0, len(replicas))
 	for _, r := range replicas {
