--- a/peers/ratelimiter.go
+++ b/peers/ratelimiter.go
@@ -115,7 +115,7 @@
 
 // bucketStart returns how a new bucket of a team begins. If this VM stands in for the VM that ranks first for the team, the bucket has one
 // token now. If this VM ranks first itself, the bucket had one token when the set of VMs last changed. A change within startupWindow of this
-// VM's start means that the VMs started together; then the bucket fills from that start.
+// VM's start is what it learned or caused by its start; then the bucket begins as after a start and fills from that instant.
 func (r *RateLimiter) bucketStart(now time.Time, limits policy.Team) share.BucketStart {
 	_, domains := r.config.Rankings.Counts(now, r.config.Domain)
 	ranked := r.config.Rankings.Of(now, r.config.Domain, share.AdmitterRole(limits.Name))
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -43,7 +43,8 @@
 	BucketStart struct {
 		// FillFrom is the instant from which it fills.
 		FillFrom time.Time
-		// AfterStart is set if all VMs started together, so that no other VM admits for the team; see StartTokens.
+		// AfterStart is set if this VM has just started, perhaps together with all others, so that it does not know what the failure domain
+		// admitted before; see StartTokens.
 		AfterStart bool
 	}
 
--- a/share/split.go
+++ b/share/split.go
@@ -41,8 +41,8 @@
 	return max(1, all*(evenBurstShare*weight+(1-evenBurstShare)*domainRate/max(limits.Rate, domainRate, 1e-9)))
 }
 
-// StartTokens returns the tokens that a failure domain holds of a team when all VMs have just started. They do not know what they admitted
-// before, which may be the whole burst, but the limit on a window allows some operations beyond the rate and the burst.
+// StartTokens returns the tokens that a failure domain holds of a team when the VM that admits for it has just started. The whole burst may
+// have been admitted before, but the limit on a window allows some operations beyond the rate and the burst.
 func StartTokens(limits policy.Team, c Config, weight float64) float64 {
 	usual := limits.Rate*c.Window.Seconds() + limits.Burst
 	return weight * (startSlackShare*c.Slack + startExcessShare*c.Excess*usual)
--- /dev/null
+++ b/watch/apply.go
@@ -0,0 +1,91 @@
+package watch
+
+import (
+	"time"
+
+	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/model"
+)
+
+// Apply applies a page of a table to the cached table and the cached state; at is an instant at which the page was current.
+func (w *Watcher) Apply(table model.TableName, page model.RowsPage, full bool, at time.Time) {
+	cached := w.cached[table]
+	if cached == nil || !cached.merge(page, full, at) {
+		return
+	}
+	defer w.notifyChanged(len(page.Rows) > 0 || full)
+	switch table {
+	case w.config.Settings:
+		w.applySettings(page)
+	case w.config.Instances:
+		w.applyInstances(page, full, at)
+	default:
+		if err := w.config.Cache.ApplyRows(page.Version, full, page.Rows, at); err != nil {
+			w.config.Log.Error("cannot decode rows", "error", err)
+		}
+	}
+}
+
+func (w *Watcher) notifyChanged(changed bool) {
+	if !changed {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *Watcher) applySettings(page model.RowsPage) {
+	for _, r := range page.Rows {
+		if r.Key != w.config.SettingsKey || r.Removed {
+			continue
+		}
+		p, skipped, err := w.config.DecodePolicy(r.Value)
+		if err != nil {
+			w.config.Log.Error("cannot decode settings, the previous ones stay in effect", "version", r.Version, "error", err)
+			continue
+		}
+		if w.config.Cache.SetPolicy(r.Version, p) {
+			w.config.Log.Info("settings in effect", "policy", p.Version, "row-version", r.Version,
+				"routes", len(p.Routes), "teams", len(p.Teams), "skipped", skipped)
+		}
+	}
+}
+
+func (w *Watcher) applyInstances(page model.RowsPage, full bool, at time.Time) {
+	known := w.config.Cache.Snapshot().Instances
+	var present []model.Instance
+	var gone []model.InstanceName
+	for _, r := range page.Rows {
+		if r.Removed {
+			gone = append(gone, model.InstanceName(r.Key))
+			w.config.Log.Info("instance registration removed", "instance", r.Key, "row-version", page.Version)
+			continue
+		}
+		i, err := w.config.DecodeInstance(r.Key, r.Value)
+		if err != nil {
+			// Otherwise the instance would stay in use as described by an older version of its row.
+			gone = append(gone, model.InstanceName(r.Key))
+			w.config.Log.Warn("cannot decode instance registration", "instance", r.Key, "error", err)
+			continue
+		}
+		present = append(present, i)
+		if known[i.Name] == i {
+			continue // A full table repeats rows that did not change.
+		}
+		w.config.Log.Info("instance registered", "instance", i.Name, "group", i.Group, "domain", i.Domain, "role", i.Role,
+			"leaving", i.Leaving, "row-version", r.Version)
+	}
+	for _, name := range w.config.Cache.ApplyInstances(page.Version, full, present, gone, at) {
+		time.AfterFunc(registrationGracePeriod, func() { w.removeExpired(name) })
+	}
+}
+
+// removeExpired removes an instance unless it registered again since its registration expired.
+func (w *Watcher) removeExpired(name model.InstanceName) {
+	if w.config.Cache.RemoveInstance(clock.Now(), name) {
+		w.config.Log.Info("instance removed", "instance", name)
+		w.config.OnRemoved(name)
+	}
+}
