Unanswered commits at a replaced primary do not count against the next one

A primary crashed while one of its two replicas received nothing. The other took over after 1.0 s and was announced to be replaced again 0.4 s later (verdict Stuck): the commits that had gone unanswered at the crashed primary still counted. No replica could take over, and the group had no primary for 2.6 s more, until it was kept. Change: unanswered commits count for the term that they were sent in. Ruled out: commits stuck at the new primary (none can have been unanswered for 900 ms so soon).

--- a/serve/commits.go
+++ b/serve/commits.go
@@ -27,10 +27,12 @@
 		groups map[model.GroupName]groupCommits
 	}
 
-	// groupCommits is what was observed of a group, and when a commit was last found to be unanswered.
+	// groupCommits is what was observed of a group. unansweredAt is when a commit was last found to be unanswered, and unansweredTerm the term
+	// of the primary that it was sent to.
 	groupCommits struct {
-		status       CommitStatus
-		unansweredAt time.Time
+		status         CommitStatus
+		unansweredAt   time.Time
+		unansweredTerm model.Term
 	}
 )
 
@@ -50,28 +52,36 @@
 	c.groups[group] = g
 }
 
-// recordUnanswered records a commit that was sent at sentAt and has no answer by now.
-func (c *commitTracker) recordUnanswered(now, sentAt time.Time, group model.GroupName) {
+// recordUnanswered records a commit that was sent at sentAt to the primary of a term and has no answer by now.
+func (c *commitTracker) recordUnanswered(now, sentAt time.Time, group model.GroupName, term model.Term) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	g := c.groups[group]
+	if term < g.unansweredTerm {
+		return // A late result at a primary that was replaced says nothing of the present one.
+	}
 	if g.status.AckedAt.Before(sentAt) {
-		if g.status.StuckSince.IsZero() || now.Sub(g.unansweredAt) > stuckTTL {
+		if g.status.StuckSince.IsZero() || now.Sub(g.unansweredAt) > stuckTTL || g.unansweredTerm != term {
 			g.status.StuckSince = sentAt
 		}
-		g.unansweredAt = now
+		g.unansweredAt, g.unansweredTerm = now, term
 	}
 	c.groups[group] = g
 }
 
-// CommitStatus returns what this VM observed of the commits in a group. Commits that went unanswered longer ago than stuckTTL do not count
-// as stuck.
-func (s *Server) CommitStatus(now time.Time, group model.GroupName) CommitStatus {
-	s.commits.mu.Lock()
-	defer s.commits.mu.Unlock()
-	g := s.commits.groups[group]
-	if now.Sub(g.unansweredAt) > stuckTTL {
+// status returns what was observed of the commits in a group whose primary is that of a term. Commits that went unanswered longer ago than
+// stuckTTL, or at the primary of another term, do not count as stuck.
+func (c *commitTracker) status(now time.Time, group model.GroupName, term model.Term) CommitStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := c.groups[group]
+	if now.Sub(g.unansweredAt) > stuckTTL || g.unansweredTerm != term {
 		g.status.StuckSince = time.Time{}
 	}
 	return g.status
 }
+
+// CommitStatus returns what this VM observed of the commits in a group.
+func (s *Server) CommitStatus(now time.Time, group model.GroupName) CommitStatus {
+	return s.commits.status(now, group, s.config.Cache.Snapshot().Primaries[group].Term)
+}
--- a/serve/write.go
+++ b/serve/write.go
@@ -88,7 +88,7 @@
 			return model.Reply{}, err
 		}
 		if (step.Kind == sess.StepWrite || step.Wrote) && !errors.Is(err, remote.ErrOwnerNoAnswer) {
-			c.server.commits.recordUnanswered(now, sentAt, group)
+			c.server.commits.recordUnanswered(now, sentAt, group, to.lease.Term)
 		}
 		return model.Reply{Fault: sess.UnansweredFault(step, !now.Before(deadline)), Detail: "the primary did not answer"}, nil
 	}
