A refusal after an attempt with an unknown outcome says that the outcome is unknown

Change: a refusal after an unsettled attempt is that attempt's unknown outcome. A look-up that finds no record settles all attempts, as they share an identifier.

--- a/entry/write.go
+++ b/entry/write.go
@@ -18,20 +18,22 @@
 // write runs a call with writes on the primary, at most once.
 func (s *Server) write(ctx context.Context, c *call) (reply, error) {
 	s.budget.earn()
+	var made attempts
 	for attempt := 0; ; attempt++ {
 		placement, err := s.awaitPrimary(ctx, c)
 		if err != nil {
-			return reply{}, err
+			return reply{}, made.refusal(err)
 		}
 		response, _, err := s.execute(ctx, c.route.Name, s.request(c, placement.Primary, placement.Term, model.ModeSingle))
 		if err == nil || hasOutcome(err, model.Unknown) {
 			response, err = s.settleOutcome(ctx, c, placement, response, err)
+			made.recordSettled(err)
 		}
 		if err == nil {
 			return s.acknowledge(c, placement, response), nil
 		}
 		if !s.takeRetry(err) && !s.takeRepeat(c, err) || !s.waitBeforeRetry(ctx, c, attempt) {
-			return reply{}, err
+			return reply{}, made.refusal(err)
 		}
 	}
 }
