--- a/entry/sync.go
+++ b/entry/sync.go
@@ -235,9 +235,7 @@
 // attestationOf asks a steward for its attestation and fetches the changes that this VM lacks.
 func (s *Server) attestationOf(ctx context.Context, member view.Member) (view.Attestation, error) {
 	if member.Boot == s.boot {
-		answer := s.views.Attest(s.now())
-		answer.SentAt = s.now()
-		return answer, nil
+		return s.views.Attest(s.now()), nil
 	}
 	sentAt := s.now()
 	peer := model.VM{ID: member.VM, Address: member.Address}
--- a/view/quorum.go
+++ b/view/quorum.go
@@ -36,9 +36,10 @@
 	}
 }
 
-// Attest returns the attestation for the held version. The attestation is serving if the store's last confirmation is younger than term.
+// Attest returns the attestation for the held version. The attestation is serving if the store's last confirmation is younger than term. For
+// the process itself it counts as asked for at now; a VM that asks another process sets the instant at which it sent the request.
 func (s *Steward) Attest(now time.Time, held model.Version, term time.Duration) Attestation {
-	return Attestation{Boot: s.boot, Version: held, Serving: s.confirmed && now.Sub(s.confirmedAt) < term}
+	return Attestation{Boot: s.boot, Version: held, Serving: s.confirmed && now.Sub(s.confirmedAt) < term, SentAt: now}
 }
 
 // ConfirmByStewards returns the confirmation of a held version that a majority of the current stewards gives, and whether there is one.
