The stand-in finds lost commits below the end of a log, and steps old primaries down

Change: the commit's own term and position must be in the log; an old primary steps down once it is back.

--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -20,7 +20,7 @@
 		// PromoteTime is the time between an order and the promotion.
 		PromoteTime time.Duration
 		// StepDownDelay is how long after a promotion the old primary becomes a replica. An old primary that is Down or Unresponsive
-		// at that time stays a primary until it is demoted.
+		// at that time becomes one StepDownDelay, or a little more, after it can reach the new primary again.
 		StepDownDelay time.Duration
 		// ServiceTime is how long a statement of a caller occupies a slot; with 0, statements occupy no slots.
 		ServiceTime time.Duration
@@ -216,8 +216,8 @@
 	return nil
 }
 
-// becomePrimary makes an instance the primary of a new term and ends all pauses. It records as lost the acknowledged commits with
-// positions beyond the end of the instance's log.
+// becomePrimary makes an instance the primary of a new term and ends all pauses. It records as lost the acknowledged commits that are not in
+// the instance's log.
 func (c *Cluster) becomePrimary(target *database) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -226,11 +226,7 @@
 		term = max(term, d.term)
 	}
 	old := c.primary()
-	for id, mark := range c.acked {
-		if target.end().Before(mark) {
-			c.lostCommits = append(c.lostCommits, id)
-		}
-	}
+	c.recordLostCommits(target)
 	target.term, target.instance.Role, target.pausedTerm = term+1, model.RolePrimary, 0
 	for _, d := range c.databases {
 		d.pausedTerm = 0
@@ -241,13 +237,33 @@
 	}
 }
 
-// stepDown makes a primary of a term below the given one a replica, unless it is down or unresponsive.
+// recordLostCommits records each acknowledged commit that is not in the log of an instance, once. It looks for the commit's own position and
+// term: after other promotions, a log that reaches further may hold other commits there.
+func (c *Cluster) recordLostCommits(target *database) {
+	held := make(map[model.Mark]bool, len(target.log))
+	for _, entry := range target.log {
+		held[entry.mark] = true
+	}
+	for id, mark := range c.acked {
+		if !held[mark] {
+			c.lostCommits = append(c.lostCommits, id)
+			delete(c.acked, id)
+		}
+	}
+}
+
+// stepDown makes a primary of a term below the given one a replica. While it is down or unresponsive, it tries again after StepDownDelay.
 func (c *Cluster) stepDown(old *database, term model.Term) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if old.term < term && !old.faults.Down && !old.faults.Unresponsive {
-		c.demote(old)
+	if old.term >= term {
+		return
+	}
+	if old.faults.Down || old.faults.Unresponsive {
+		time.AfterFunc(c.config.StepDownDelay, func() { c.stepDown(old, term) })
+		return
 	}
+	c.demote(old)
 }
 
 func (c *Cluster) demote(d *database) {
--- a/stand/cluster_test.go
+++ b/stand/cluster_test.go
@@ -88,3 +88,30 @@
 	require.NoError(t, err)
 	require.Equal(t, model.Position(1), state.Received.Position)
 }
+
+// TestLostCommitIsFoundBelowTheEndOfTheLog guards against a check that overlooks a lost commit: the position of the commit is below the end of the log of
+// the promoted instance, which holds another commit there.
+func TestLostCommitIsFoundBelowTheEndOfTheLog(t *testing.T) {
+	c, _ := newTestCluster()
+	target := c.databases["b"]
+	target.log = []commit{{mark: model.Mark{Term: 2, Position: 1}, writes: []write{{id: "other"}}}}
+	c.acked["other"] = model.Mark{Term: 2, Position: 1}
+	c.acked["lost"] = model.Mark{Term: 1, Position: 1}
+	c.becomePrimary(target)
+	require.Equal(t, []model.RequestID{"lost"}, c.LostCommits())
+	c.becomePrimary(target)
+	require.Equal(t, []model.RequestID{"lost"}, c.LostCommits(), "recorded once")
+}
+
+// TestOldPrimaryStepsDownOnceItIsBack guards against tests that run with two primaries longer than the platform's instances would: an old
+// primary that was down when its time ended stayed a primary until it was demoted.
+func TestOldPrimaryStepsDownOnceItIsBack(t *testing.T) {
+	c, _ := newTestCluster()
+	c.SetFaults("a", DatabaseFaults{Down: true})
+	require.NoError(t, c.Promote(t.Context(), model.PromoteOrder{Group: "g", Target: "b", Fence: 1}))
+	require.Eventually(t, func() bool { name, _ := c.Primary(); return name == "b" }, time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond)
+	require.Equal(t, model.RolePrimary, c.Instance("a").Role, "it cannot know of the new primary")
+	c.SetFaults("a", DatabaseFaults{})
+	require.Eventually(t, func() bool { return c.Instance("a").Role == model.RoleReplica }, time.Second, time.Millisecond)
+}
