--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -237,21 +237,6 @@
 	}
 }
 
-// recordLostCommits records each acknowledged commit that is not in the log of an instance, once. It looks for the commit's own position and
-// term: after other promotions, a log that reaches further may hold other commits there.
-func (c *Cluster) recordLostCommits(target *database) {
-	held := make(map[model.Mark]bool, len(target.log))
-	for _, entry := range target.log {
-		held[entry.mark] = true
-	}
-	for id, mark := range c.acked {
-		if !held[mark] {
-			c.lostCommits = append(c.lostCommits, id)
-			delete(c.acked, id)
-		}
-	}
-}
-
 // stepDown makes a primary of a term below the given one a replica. While it is down or unresponsive, it tries again after StepDownDelay.
 func (c *Cluster) stepDown(old *database, term model.Term) {
 	c.mu.Lock()
--- a/stand/clusteraudit.go
+++ b/stand/clusteraudit.go
@@ -45,3 +45,18 @@
 	defer c.mu.Unlock()
 	return append([]model.RequestID(nil), c.lostCommits...)
 }
+
+// recordLostCommits records each acknowledged commit that is not in the log of an instance, once. It looks for the commit's own position and
+// term: after other promotions, a log that reaches further may hold other commits there.
+func (c *Cluster) recordLostCommits(target *database) {
+	held := make(map[model.Mark]bool, len(target.log))
+	for _, entry := range target.log {
+		held[entry.mark] = true
+	}
+	for id, mark := range c.acked {
+		if !held[mark] {
+			c.lostCommits = append(c.lostCommits, id)
+			delete(c.acked, id)
+		}
+	}
+}
