--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -383,26 +383,7 @@
 func (i *instance) serve(conn *lineConn) {
 	s := &instanceSession{i: i, conn: conn, values: map[string]string{}, prepared: map[string]string{}}
 	defer func() { _ = conn.Close() }()
-	message, err := conn.next()
-	if err != nil || !s.awaitAnswerable() {
-		return
-	}
-	words := strings.Split(message, " ")
-	if words[0] != "START" || len(words) < 3 || words[1] != i.c.service || (len(words) > 3 && words[3] != i.id) {
-		i.c.record.add(i.id, "%q -> ERR MISDIRECT", message)
-		_ = conn.send("ERR MISDIRECT " + i.id)
-		return
-	}
-	s.team = words[2]
-	i.c.mu.Lock()
-	full := len(i.sessions) >= maxConns
-	if !full {
-		i.sessions[s] = struct{}{}
-	}
-	position := i.appliedMark()
-	i.c.mu.Unlock()
-	if full {
-		_ = conn.send("ERR TOOMANY " + i.id)
+	if !s.start() {
 		return
 	}
 	defer func() {
@@ -410,9 +391,6 @@
 		delete(i.sessions, s)
 		i.c.mu.Unlock()
 	}()
-	if conn.send("READY I "+position.String()) != nil {
-		return
-	}
 	for {
 		message, err := conn.next()
 		if err != nil || !s.awaitAnswerable() {
@@ -425,6 +403,35 @@
 	}
 }
 
+// start reads START and answers it; it returns false if the session is not opened.
+func (s *instanceSession) start() bool {
+	i := s.i
+	message, err := s.conn.next()
+	if err != nil || !s.awaitAnswerable() {
+		return false
+	}
+	words := strings.Split(message, " ")
+	if words[0] != "START" || len(words) < 3 || words[1] != i.c.service || (len(words) > 3 && words[3] != i.id) {
+		i.c.record.add(i.id, "%q -> ERR MISDIRECT", message)
+		_ = s.conn.send("ERR MISDIRECT " + i.id)
+		return false
+	}
+	s.team = words[2]
+	i.c.mu.Lock()
+	full := len(i.sessions) >= maxConns
+	if !full {
+		i.sessions[s] = struct{}{}
+	}
+	position := i.appliedMark()
+	i.c.mu.Unlock()
+	if full {
+		_ = s.conn.send("ERR TOOMANY " + i.id)
+		return false
+	}
+	_ = s.conn.send("READY I " + position.String())
+	return true
+}
+
 // mac returns the proof of an answer of this instance.
 func (i *instance) mac(id, text string, rows []string) string {
 	sum := sha256.Sum256([]byte(i.id + "\x00" + id + "\x00" + text + "\x00" + strings.Join(rows, "\x00")))
@@ -536,25 +543,52 @@
 
 // execute runs a statement under the lock; it also returns the position that a replica has to receive before the answer is sent.
 func (s *instanceSession) execute(id, verb, arguments, text string, since mark) ([]string, mark) {
-	i := s.i
-	i.c.mu.Lock()
-	defer i.c.mu.Unlock()
-	if s.failed && verb != "ROLLBACK" && verb != "COMMIT" {
-		return []string{"ERR BADMSG", s.ready()}, mark{}
-	}
-	if since != (mark{}) && i.appliedMark().before(since) {
-		return s.fail("LAGGING"), mark{}
-	}
-	if s.inTx && !s.readOnly && verb != "ROLLBACK" && (!i.primary || i.term != s.txTerm) && (verb != "COMMIT" || len(s.writes) > 0) {
-		return s.fail("READONLY"), mark{}
+	s.i.c.mu.Lock()
+	defer s.i.c.mu.Unlock()
+	if code := s.refusal(verb, since); code != "" {
+		return s.fail(code), mark{}
 	}
 	name, value, _ := strings.Cut(arguments, " ")
 	switch verb {
+	case "READ":
+		return s.read(id, text, arguments), mark{}
+	case "WRITE":
+		return s.write(id, text, name, value)
+	case "EXEC":
+		return s.executePrepared(id, text, name, value)
+	case "COMMIT":
+		return s.endTransaction(id, text)
 	case "BEGIN":
-		if arguments != "READ" && !i.primary {
+		if arguments != "READ" && !s.i.primary {
 			return s.fail("READONLY"), mark{}
 		}
-		s.inTx, s.readOnly, s.txTerm, s.writes = true, arguments == "READ", i.term, nil
+		s.inTx, s.readOnly, s.txTerm, s.writes = true, arguments == "READ", s.i.term, nil
+		return []string{"DONE -", s.ready()}, mark{}
+	}
+	if !s.setState(verb, name, value) {
+		return s.fail("BADMSG"), mark{}
+	}
+	return []string{"DONE -", s.ready()}, mark{}
+}
+
+// refusal returns the code with which a statement is refused in the present state of the session, or nothing.
+func (s *instanceSession) refusal(verb string, since mark) string {
+	i := s.i
+	lostLead := s.inTx && !s.readOnly && (!i.primary || i.term != s.txTerm)
+	switch {
+	case s.failed && verb != "ROLLBACK" && verb != "COMMIT":
+		return "BADMSG"
+	case since != (mark{}) && i.appliedMark().before(since):
+		return "LAGGING"
+	case lostLead && verb != "ROLLBACK" && (verb != "COMMIT" || len(s.writes) > 0):
+		return "READONLY"
+	}
+	return ""
+}
+
+// setState runs a statement that concerns only the state of the session, and reports whether it is one.
+func (s *instanceSession) setState(verb, name, value string) bool {
+	switch verb {
 	case "ROLLBACK":
 		s.inTx, s.failed, s.writes = false, false, nil
 	case "SET":
@@ -565,30 +599,30 @@
 		s.prepared[name], _, _ = strings.Cut(value, " ")
 	case "DEALLOC":
 		delete(s.prepared, name)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *instanceSession) executePrepared(id, text, name, arguments string) ([]string, mark) {
+	item, data, _ := strings.Cut(arguments, " ")
+	switch s.prepared[name] {
 	case "READ":
-		return s.read(id, text, arguments), mark{}
+		return s.read(id, text, item), mark{}
 	case "WRITE":
-		return s.write(id, text, name, value)
-	case "EXEC":
-		item, data, _ := strings.Cut(value, " ")
-		switch s.prepared[name] {
-		case "READ":
-			return s.read(id, text, item), mark{}
-		case "WRITE":
-			return s.write(id, text, item, data)
-		}
-		return s.fail("NOSTMT"), mark{}
-	case "COMMIT":
-		if s.failed {
-			s.inTx, s.failed, s.writes = false, false, nil
-			return []string{"ERR FAILED", s.ready()}, mark{}
-		}
-		s.inTx = false
-		return s.commit(id, text)
-	default:
-		return s.fail("BADMSG"), mark{}
+		return s.write(id, text, item, data)
 	}
-	return []string{"DONE -", s.ready()}, mark{}
+	return s.fail("NOSTMT"), mark{}
+}
+
+func (s *instanceSession) endTransaction(id, text string) ([]string, mark) {
+	if s.failed {
+		s.inTx, s.failed, s.writes = false, false, nil
+		return []string{"ERR FAILED", s.ready()}, mark{}
+	}
+	s.inTx = false
+	return s.commit(id, text)
 }
 
 func (s *instanceSession) read(id, text, item string) []string {
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -131,13 +131,6 @@
 	s.changed = make(chan struct{})
 }
 
-// read returns the value of a row of the system's own tables, or an empty one.
-func (s *store) read(table, key string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return string(s.rows[rowKey(table, "", key)].Value)
-}
-
 func (s *store) answer(w http.ResponseWriter, status int, rows []row) {
 	if rows == nil {
 		rows = []row{}
@@ -244,13 +237,16 @@
 }
 
 func (s *store) answerPromote(w http.ResponseWriter, r *http.Request) {
-	var order struct{ Service, Id string }
+	var order struct {
+		Service string
+		ID      string `json:"Id"`
+	}
 	if json.NewDecoder(r.Body).Decode(&order) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	holder, fence := r.Header.Get("X-Duty-Holder"), r.Header.Get("X-Fence-Token")
-	status := s.promote(order.Service, order.Id, holder, fence)
-	s.record.add("platform", "POST /promote Service=%s Id=%s holder=%s fence=%s -> %d", order.Service, order.Id, holder, fence, status)
+	status := s.promote(order.Service, order.ID, holder, fence)
+	s.record.add("platform", "POST /promote Service=%s Id=%s holder=%s fence=%s -> %d", order.Service, order.ID, holder, fence, status)
 	w.WriteHeader(status)
 }
