A process that starts waits until missing instances had time to register again

Cause: a missing registration shows that an instance is gone only after the store was readable for more than two seconds. Only a process that had seen the registration vanish waited that long. A new process took its first read for complete, replaced a healthy primary and compared the one replica that had registered again, which had received nothing for seconds. The wait of a running process also went on while the store was unavailable a second time.

Ruled out: a lease that outlives the replacement (no commit of the old primary after it), and the replica's own answer (it reported its true position).

Fix: the cache knows since when registrations have been read without a gap; absence counts after 2.3 s of that. It applies to the primary, to the set of replicas for comparisons and for reads, and to expired registrations.

--- a/coord/compare.go
+++ b/coord/compare.go
@@ -89,7 +89,8 @@
 // compare returns a replica that has every acknowledged commit, and whether there certainly is one.
 func (r *replacement) compare(now time.Time) (model.Instance, bool) {
 	evidence := elect.Evidence{
-		Replicas: r.replicas, AllReleased: r.allReleased() && !r.s.config.Cache.VMRemovedRecently(now), ReplicaRemoved: r.s.config.Cache.ReplicaRemovedRecently(now, r.group),
+		Replicas: r.replicas, AllReleased: r.allReleased() && !r.s.config.Cache.VMRemovedRecently(now),
+		ReplicaRemoved: r.s.config.Cache.ReplicaRemovedRecently(now, r.group) || !r.s.config.Cache.AbsenceSettled(now),
 	}
 	for _, release := range r.releases {
 		evidence.Releases = append(evidence.Releases, release)
--- a/coord/supervisor.go
+++ b/coord/supervisor.go
@@ -123,7 +123,9 @@
 func (s *Supervisor) primaryState(now time.Time, group model.GroupName, g *groupState) elect.PrimaryState {
 	snapshot := s.config.Cache.Snapshot()
 	primary, record, registered := snapshot.Primary(group)
-	observed := elect.PrimaryState{Recorded: record.Version > 0, Registered: registered, Leaving: primary.Leaving}
+	observed := elect.PrimaryState{
+		Recorded: record.Version > 0, Registered: registered, AbsenceSettled: s.config.Cache.AbsenceSettled(now), Leaving: primary.Leaving,
+	}
 	if record.Next != nil {
 		if g.intentVersion != record.Version {
 			g.intentVersion, g.intentObservedAt = record.Version, now
--- a/elect/cause.go
+++ b/elect/cause.go
@@ -41,7 +41,10 @@
 type PrimaryState struct {
 	// Recorded reports whether a row names the primary, and Registered whether the primary is registered.
 	Recorded, Registered bool
-	Leaving              bool
+	// AbsenceSettled reports whether a primary that is not registered is certainly gone. Otherwise it may not have registered again yet after
+	// an outage of the store.
+	AbsenceSettled bool
+	Leaving        bool
 	// Announced reports whether a replacement is announced, and OwnAnnouncement whether this VM announced it in a run that has ended.
 	Announced, OwnAnnouncement bool
 	// Abandoned reports that the process which announced the replacement no longer holds the coordinator lease, so it cannot continue.
@@ -64,8 +67,10 @@
 		return CauseResume
 	case s.Announced:
 		return CauseNone
-	case !s.Registered:
+	case !s.Registered && s.AbsenceSettled:
 		return CauseGone
+	case !s.Registered:
+		return CauseNone
 	case s.Leaving:
 		return CausePlanned
 	case s.Failures >= suspectFailures && !s.FailingSince.IsZero() && now.Sub(s.FailingSince) >= suspectAfter:
--- /dev/null
+++ b/state/absence_test.go
@@ -0,0 +1,61 @@
+package state
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/model"
+)
+
+// read applies answers without changes every half second from one instant to another.
+func read(cache *Cache, from, to int) {
+	for ms := from; ms <= to; ms += 500 {
+		cache.ApplyInstances(cache.tableVersions[instancesTable], false, nil, nil, at(ms))
+	}
+}
+
+// TestAbsenceSettlesAfterAStartAndAfterAnOutage guards against taking instances for gone that have not registered again yet: a process that
+// had just started, or had not read the store for a while, relied on the registrations that it read first.
+func TestAbsenceSettlesAfterAStartAndAfterAnOutage(t *testing.T) {
+	cache := New(Config{})
+	require.False(t, cache.AbsenceSettled(at(0)), "nothing was read yet")
+	cache.ApplyInstances(1, true, nil, nil, at(0))
+	read(cache, 500, 3000)
+	require.False(t, cache.AbsenceSettled(at(2200)))
+	require.True(t, cache.AbsenceSettled(at(3000)))
+	require.False(t, cache.AbsenceSettled(at(6000)), "the store was not read for three seconds")
+	read(cache, 9000, 12_000)
+	require.False(t, cache.AbsenceSettled(at(11_000)), "the store returned two seconds ago")
+	require.True(t, cache.AbsenceSettled(at(12_000)))
+}
+
+// TestExpiredInstanceIsWaitedForWhileTheStoreIsAvailable guards against the removal of an instance that could not register again because the
+// store was unavailable a second time, or that registered and expired again.
+func TestExpiredInstanceIsWaitedForWhileTheStoreIsAvailable(t *testing.T) {
+	cache := New(Config{})
+	cache.ApplyInstances(1, true, []model.Instance{{Name: "r", Group: "g"}}, nil, at(0))
+	require.Zero(t, cache.AbsenceWait(at(0), "r"), "it is registered")
+	read(cache, 500, 5000)
+	cache.ApplyInstances(2, false, nil, []model.InstanceName{"r"}, at(5000))
+	require.Equal(t, registrationGracePeriod-time.Second, cache.AbsenceWait(at(6000), "r"))
+	require.Equal(t, registrationGracePeriod, cache.AbsenceWait(at(7500), "r"), "the store was not read for 2.5 s")
+	read(cache, 9000, 11_000)
+	require.Equal(t, registrationGracePeriod-2*time.Second, cache.AbsenceWait(at(11_000), "r"))
+	cache.ApplyInstances(3, false, []model.Instance{{Name: "r", Group: "g"}}, nil, at(11_000))
+	cache.ApplyInstances(4, false, nil, []model.InstanceName{"r"}, at(11_200))
+	require.Equal(t, registrationGracePeriod, cache.AbsenceWait(at(11_200), "r"))
+	read(cache, 11_500, 14_000)
+	require.Zero(t, cache.AbsenceWait(at(14_000), "r"))
+}
+
+func TestReplicasAreNotCompleteUntilAbsenceIsSettled(t *testing.T) {
+	cache := newReplicated(t)
+	cache.instancesReadSince = at(-1000)
+	_, _, ok := cache.Replicas(at(100), "g")
+	require.False(t, ok)
+	read(cache, 500, 2000)
+	_, _, ok = cache.Replicas(at(2000), "g")
+	require.True(t, ok)
+}
--- a/state/cache.go
+++ b/state/cache.go
@@ -37,14 +37,16 @@
 		revoked map[model.GroupName]int64
 		// confirmed holds the highest version of an intent for which this VM confirmed that it stopped using a group's primary.
 		confirmed map[model.GroupName]int64
-		// expired holds the instances that are still in use although their registration is gone.
-		expired map[model.InstanceName]bool
+		// expired holds the instances that are still in use although their registration is gone, and the instant as of which it was.
+		expired map[model.InstanceName]time.Time
 		// replicaRemovedAt holds when a replica of a group was last removed, and
 		// replicaRestartedAt when one last restarted.
 		replicaRemovedAt   map[model.GroupName]time.Time
 		replicaRestartedAt map[model.GroupName]time.Time
-		// instancesCurrentAt is the newest instant at which no registration was newer than those applied here.
+		// instancesCurrentAt is the newest instant at which no registration was newer than those applied here, and instancesReadSince the
+		// instant since which the registrations have been read without a gap of maxUnreadTime.
 		instancesCurrentAt time.Time
+		instancesReadSince time.Time
 		// vmRemovedAt is when a deletion of a VM's row was last observed.
 		vmRemovedAt time.Time
 	}
@@ -58,7 +60,7 @@
 		termCheckedAt:      map[model.GroupName]time.Time{},
 		revoked:            map[model.GroupName]int64{},
 		confirmed:          map[model.GroupName]int64{},
-		expired:            map[model.InstanceName]bool{},
+		expired:            map[model.InstanceName]time.Time{},
 		replicaRemovedAt:   map[model.GroupName]time.Time{},
 		replicaRestartedAt: map[model.GroupName]time.Time{},
 	}
@@ -96,9 +98,7 @@
 	if version < c.tableVersions[instancesTable] {
 		return nil
 	}
-	if at.After(c.instancesCurrentAt) {
-		c.instancesCurrentAt = at
-	}
+	c.recordInstancesRead(at)
 	if version == c.tableVersions[instancesTable] && !full {
 		return nil
 	}
@@ -117,7 +117,7 @@
 		gone = missing(next.Instances, registered)
 	}
 	for _, name := range gone {
-		c.expired[name] = true
+		c.expired[name] = at
 	}
 	c.snapshot.Store(next)
 	return gone
@@ -137,7 +137,7 @@
 func (c *Cache) RemoveInstance(now time.Time, name model.InstanceName) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.expired[name] {
+	if _, expired := c.expired[name]; !expired {
 		return false
 	}
 	delete(c.expired, name)
--- a/state/replicas.go
+++ b/state/replicas.go
@@ -10,7 +10,7 @@
 // or has no primary record or no replicas, or if the replicas together may lack a commit that was acknowledged.
 //
 // A commit of a replicated group is acknowledged after one replica has received it. That replica may have been removed or restarted
-// since.
+// since, or it has not registered again yet.
 func (c *Cache) Replicas(now time.Time, group model.GroupName) (replicas []model.Instance, asOf time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -19,7 +19,7 @@
 		return nil, time.Time{}, false
 	}
 	record, known := s.Primaries[group]
-	if !known || now.Sub(c.replicaRemovedAt[group]) < soleReplicaWindow || now.Sub(c.replicaRestartedAt[group]) < soleReplicaWindow {
+	if !known || c.absenceWait(c.instancesCurrentAt, time.Time{}) > 0 || now.Sub(c.replicaRemovedAt[group]) < soleReplicaWindow || now.Sub(c.replicaRestartedAt[group]) < soleReplicaWindow {
 		return nil, time.Time{}, false
 	}
 	for _, i := range s.GroupInstances(group) {
--- a/state/replicas_test.go
+++ b/state/replicas_test.go
@@ -10,12 +10,14 @@
 	"github.com/crocusshore/crocusshore/policy"
 )
 
-// newReplicated returns the cache of a VM with a replicated group of a primary and two replicas, current at instant 0.
+// newReplicated returns the cache of a VM with a replicated group of a primary and two replicas, current at instant 0. The registrations have
+// been read for long enough that no other replica is missing.
 func newReplicated(t *testing.T) *Cache {
 	t.Helper()
 	cache := newRegistered(t)
 	cache.SetPolicy(1, &policy.Policy{Version: 1, Groups: map[model.GroupName]policy.Group{"g": {Name: "g", Replicated: true}}})
 	cache.ApplyInstances(2, false, []model.Instance{{Name: "r1", Group: "g"}, {Name: "r2", Group: "g"}}, nil, at(0))
+	cache.instancesReadSince = at(0).Add(-registrationGracePeriod)
 	return cache
 }
 
--- a/watch/apply.go
+++ b/watch/apply.go
@@ -78,13 +78,18 @@
 			"leaving", i.Leaving, "row-version", r.Version)
 	}
 	for _, name := range w.config.Cache.ApplyInstances(page.Version, full, present, gone, at) {
-		time.AfterFunc(registrationGracePeriod, func() { w.removeExpired(name) })
+		w.removeExpired(name)
 	}
 }
 
-// removeExpired removes an instance unless it registered again since its registration expired.
+// removeExpired removes an instance, as soon as it certainly is gone, unless it registered again since its registration expired.
 func (w *Watcher) removeExpired(name model.InstanceName) {
-	if w.config.Cache.RemoveInstance(clock.Now(), name) {
+	now := clock.Now()
+	if wait := w.config.Cache.AbsenceWait(now, name); wait > 0 {
+		time.AfterFunc(wait, func() { w.removeExpired(name) })
+		return
+	}
+	if w.config.Cache.RemoveInstance(now, name) {
 		w.config.Log.Info("instance removed", "instance", name)
 		w.config.OnRemoved(name)
 	}
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -34,8 +34,6 @@
 	// startupPollPause follows each change in that time, so that not every registration causes a call by every VM. It also follows the first
 	// read of a table, so that the VM has its role before it waits for changes.
 	startupPollPause = 150 * time.Millisecond
-	// registrationGracePeriod is how long an instance stays in use after its registration is gone.
-	registrationGracePeriod = 2300 * time.Millisecond // One that expired while the store was unreachable is renewed within two seconds.
 )
 
 var (
