Sessions of a stopping process end right after the answer to their operation

Cause: a session of a process that stops ended only once its caller paused for 60 ms. A caller that sends its next statement sooner kept the session until the process exited, with statements at an instance.

Ruled out: SIGKILL (the process exits by itself at 5.5 s of 6) and an instance that is slow (answers take 14 ms).

Fix: the session ends right after the answer to the last statement of an operation, when its caller has sent nothing that could be cut off. Statements that only prepare a session do not end it. For what is still at work near the end there is a plan: from 0.2 s before the exit no statement runs, open transactions are aborted, unanswered statements are given up with TIMEOUT or INDOUBT, and no session is accepted.

--- a/model/command.go
+++ b/model/command.go
@@ -28,6 +28,17 @@
 	CommandInvalid CommandKind = "Invalid"
 )
 
+// EndsOperation reports whether a statement of the kind ends an operation if no transaction is open after it. The other kinds prepare the
+// session for one, or do nothing.
+func (k CommandKind) EndsOperation() bool {
+	switch k {
+	case CommandCommit, CommandRollback, CommandRead, CommandWrite, CommandExecute:
+		return true
+	default:
+		return false
+	}
+}
+
 type (
 	// Hello is the first message of a caller's session.
 	Hello struct {
--- a/model/instanceconn.go
+++ b/model/instanceconn.go
@@ -11,6 +11,8 @@
 	ErrNoAnswer = errors.New("the connection ended before the answer")
 	// ErrNotSent reports that the instance received nothing of what was to be sent.
 	ErrNotSent = errors.New("nothing was sent to the instance")
+	// ErrInterrupted reports that the wait for a caller's statement was interrupted.
+	ErrInterrupted = errors.New("the wait for a statement was interrupted")
 )
 
 // TxState is the transaction state of a session.
@@ -87,7 +89,7 @@
 		Hello(deadline time.Time) (Hello, error)
 		// Next reads the next statement; a zero deadline means no limit.
 		Next(deadline time.Time) (Command, error)
-		// Interrupt makes a waiting or the following Next return at once.
+		// Interrupt makes a waiting or the following Next return ErrInterrupted at once.
 		Interrupt()
 		// Accept accepts the session.
 		Accept() error
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,8 @@
 	leaseTTL = 2 * time.Second
 	// exitMargin is how long before SIGKILL the process stops serving and exits by itself.
 	exitMargin = 500 * time.Millisecond
+	// answerMargin is how long before that no statement runs any more, so that all sessions are answered and end.
+	answerMargin = 200 * time.Millisecond
 	// balancerLag is how long the load balancer still sends new connections to a VM that is not ready.
 	balancerLag = 2200 * time.Millisecond
 	// drainPollInterval is the interval at which a stopping process checks whether its sessions have ended.
@@ -194,16 +196,26 @@
 	n.config.Log.Info("daemon stopping", "grace", grace, "sessions", n.server.SessionCount())
 	n.stopping.Store(true)
 	n.remoteServer.StopAccepting()
-	go n.server.Drain(ctx, now.Add(grace/2))
-	for clock.Now().Before(now.Add(grace - exitMargin)) {
-		if n.server.SessionCount() == 0 && n.remoteServer.ConnectionsInUse() == 0 && clock.Now().Sub(now) >= balancerLag {
-			break
-		}
-		time.Sleep(drainPollInterval)
-	}
+	exitAt := now.Add(grace - exitMargin)
+	plan := serve.DrainPlan{TransactionsUntil: now.Add(grace / 2), StatementsUntil: exitAt.Add(-answerMargin)}
+	go n.server.Drain(ctx, plan)
+	awaitUntil(plan.StatementsUntil, func() bool { return n.idle() && clock.Now().Sub(now) >= balancerLag })
 	if err := callers.Close(); err != nil {
 		n.config.Log.Warn("cannot close listener for callers", "error", err)
 	}
+	awaitUntil(exitAt, n.idle)
 	n.registrar.Remove(ctx)
 	n.config.Log.Info("daemon stopped", "sessions", n.server.SessionCount(), "after", clock.Now().Sub(now).Round(time.Millisecond))
 }
+
+// idle reports whether no caller has a session here and no other VM uses a connection of this one.
+func (n *Node) idle() bool {
+	return n.server.SessionCount() == 0 && n.remoteServer.ConnectionsInUse() == 0
+}
+
+// awaitUntil waits until a condition holds, but no longer than until an instant.
+func awaitUntil(until time.Time, condition func() bool) {
+	for clock.Now().Before(until) && !condition() {
+		time.Sleep(drainPollInterval)
+	}
+}
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -1,13 +1,17 @@
 package node
 
 import (
+	"io"
 	"net"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/stand"
 	"github.com/crocusshore/crocusshore/state"
 )
 
@@ -50,3 +54,106 @@
 
 // registrationWait is longer than the interval after which a node that is not stopping registers again.
 const registrationWait = 700 * time.Millisecond
+
+// stopNode begins to stop a node as SIGTERM does; the channel is closed once its process would end.
+func (s *site) stopNode(t *testing.T, node int) (stopped chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	stopped = make(chan struct{})
+	go func() {
+		s.nodes[node].shutdown(t.Context(), listener)
+		close(stopped)
+	}()
+	return stopped
+}
+
+// TestSessionsInUseEndBeforeAStoppingNode guards against writes that run and are never answered: a session whose next statement always came
+// within the timeout of the last read was used until the process ended, which cut off the statements that were at an instance.
+func TestSessionsInUseEndBeforeAStoppingNode(t *testing.T) {
+	const sessions, thinkTime = 6, 10 * time.Millisecond
+	s := newSite(t, 2)
+	var callers sync.WaitGroup
+	for range sessions {
+		c, err := s.dial(0, "revise", "key-1")
+		require.NoError(t, err)
+		c.must(t, "SET name value")
+		callers.Go(func() {
+			for {
+				id, _, _, err := c.ask("WRITE item x")
+				if err != nil {
+					if s.cluster.CommitCount(model.RequestID(id)) > 0 {
+						t.Errorf("write %s ran and was not answered", id)
+					}
+					return
+				}
+				time.Sleep(thinkTime)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	<-s.stopNode(t, 0)
+	require.Zero(t, s.nodes[0].server.SessionCount())
+	callers.Wait()
+}
+
+// TestTransactionInUseIsAnsweredUntilTheNodeStops guards against a transaction that is cut off by the end of the process because its
+// statements never pause.
+func TestTransactionInUseIsAnsweredUntilTheNodeStops(t *testing.T) {
+	s := newSite(t, 2)
+	c, err := s.dial(0, "revise", "key-1")
+	require.NoError(t, err)
+	c.must(t, "BEGIN")
+	stopped := s.stopNode(t, 0)
+	end := "DONE"
+	for strings.HasPrefix(end, "DONE") {
+		_, _, end, err = c.ask("WRITE item x")
+		require.NoError(t, err)
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Contains(t, end, "ABORTED")
+	select {
+	case <-stopped:
+		t.Fatal("the node ended before it answered")
+	default:
+	}
+	<-stopped
+	require.Zero(t, s.nodes[0].server.SessionCount())
+}
+
+// TestStatementOfAStoppingNodeIsAnsweredWithoutTheInstance guards against a connection that ends without an answer because an instance
+// needs longer than the process has.
+func TestStatementOfAStoppingNodeIsAnsweredWithoutTheInstance(t *testing.T) {
+	s := newSite(t, 2)
+	stopped := s.stopNode(t, 0)
+	time.Sleep(2 * time.Second)
+	c, err := s.dial(0, "revise", "key-1")
+	require.NoError(t, err)
+	for _, replica := range []model.InstanceName{"i-2", "i-3"} {
+		s.cluster.SetFaults(replica, stand.DatabaseFaults{NoReplication: true})
+	}
+	_, _, end, err := c.ask("WRITE item x")
+	require.NoError(t, err)
+	require.Regexp(t, "TIMEOUT|INDOUBT", end)
+	select {
+	case <-stopped:
+		t.Fatal("the node ended before it answered")
+	default:
+	}
+}
+
+// TestSessionOpenedAtAStoppingNodeServesAnOperation guards against sessions that end before their first operation: the load balancer still sends
+// some to a node that has begun to stop, and their callers prepare them first.
+func TestSessionOpenedAtAStoppingNodeServesAnOperation(t *testing.T) {
+	s := newSite(t, 2)
+	stopped := s.stopNode(t, 0)
+	time.Sleep(200 * time.Millisecond)
+	c, err := s.dial(0, "revise", "key-1")
+	require.NoError(t, err)
+	c.must(t, "SET name value")
+	c.must(t, "PREPARE s1 WRITE shape")
+	c.must(t, "WRITE item x")
+	_, err = c.in.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "the session ends right after the answer")
+	<-stopped
+}
--- a/serve/server.go
+++ b/serve/server.go
@@ -60,7 +60,8 @@
 		readDemand *readDemand
 		// pollRounds limits the rounds of requests for log positions and term checks.
 		pollRounds *pollRounds
-		draining   atomic.Bool
+		// drain is the plan by which the server stops, and nil while it does not stop.
+		drain atomic.Pointer[DrainPlan]
 		// shedding is set while callers are served better by other VMs; idle sessions end then.
 		shedding atomic.Bool
 		// confirmMu is write-locked while a confirmation is recorded, and read-locked while an answer is about to be acknowledged.
@@ -98,11 +99,19 @@
 	return len(s.sessions)
 }
 
-// Drain ends idle sessions at once and the others after their operation; open transactions may continue until the given time.
-func (s *Server) Drain(ctx context.Context, transactionDeadline time.Time) {
-	s.draining.Store(true)
+// DrainPlan holds the instants by which a server that stops ends its work.
+type DrainPlan struct {
+	// TransactionsUntil is until when a transaction may be idle.
+	TransactionsUntil time.Time
+	// StatementsUntil is until when statements run; later ones are refused, and an unanswered one is given up.
+	StatementsUntil time.Time
+}
+
+// Drain ends idle sessions at once and the others after their operation, as planned; it returns once idle transactions have to end.
+func (s *Server) Drain(ctx context.Context, plan DrainPlan) {
+	s.drain.Store(&plan)
 	s.interrupt(false)
-	timer := time.NewTimer(transactionDeadline.Sub(clock.Now()))
+	timer := time.NewTimer(plan.TransactionsUntil.Sub(clock.Now()))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -111,6 +120,34 @@
 	}
 }
 
+// transactionWait returns how long a transaction may be idle that may otherwise be so for idle, or without limit if idle is 0.
+func (s *Server) transactionWait(now time.Time, idle time.Duration) time.Duration {
+	plan := s.drain.Load()
+	if plan == nil {
+		return idle
+	}
+	left := max(finalReadTimeout, plan.TransactionsUntil.Sub(now))
+	if idle == 0 {
+		return left
+	}
+	return min(idle, left)
+}
+
+// mayRun reports whether a statement may still run now.
+func (s *Server) mayRun(now time.Time) bool {
+	plan := s.drain.Load()
+	return plan == nil || now.Before(plan.StatementsUntil)
+}
+
+// statementDeadline returns the deadline of a statement with a timeout. A server that stops answers before it ends.
+func (s *Server) statementDeadline(now time.Time, timeout time.Duration) time.Time {
+	deadline := now.Add(timeout)
+	if plan := s.drain.Load(); plan != nil && plan.StatementsUntil.Before(deadline) {
+		return plan.StatementsUntil
+	}
+	return deadline
+}
+
 // SetShedding starts or stops ending sessions that are idle outside a transaction, so that their callers reconnect through other VMs.
 func (s *Server) SetShedding(shedding bool) {
 	s.shedding.Store(shedding)
@@ -120,16 +157,13 @@
 }
 
 // endsIdleSessions reports whether sessions end as soon as they are idle.
-func (s *Server) endsIdleSessions() bool { return s.draining.Load() || s.shedding.Load() }
+func (s *Server) endsIdleSessions() bool { return s.drain.Load() != nil || s.shedding.Load() }
 
 // interrupt wakes the sessions outside a transaction. If inTransactions is set, it also wakes the others, whose transactions have to end.
 func (s *Server) interrupt(inTransactions bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.sessions {
-		if inTransactions {
-			c.drainExpired.Store(true)
-		}
 		if inTransactions || !c.inTransaction.Load() {
 			c.conn.Interrupt()
 		}
--- a/serve/session.go
+++ b/serve/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -32,8 +31,6 @@
 	lastConn model.PooledConn
 
 	inTransaction atomic.Bool
-	// drainExpired is set once open transactions have to end because the process stops.
-	drainExpired atomic.Bool
 }
 
 func newCallerSession(server *Server, conn model.CallerConn) *callerSession {
@@ -87,43 +84,49 @@
 		reply = c.server.addRetryAdvice(reply)
 		reply.State = c.session.State
 		c.inTransaction.Store(c.session.State != model.TxNone)
-		if err := c.conn.Answer(reply); err != nil || last {
+		if err := c.conn.Answer(reply); err != nil || last || c.endsAfter(command.Kind) {
 			return
 		}
 	}
 }
 
-// nextCommand waits for the next statement. A session that is about to end reads once more with a short timeout, unless it has a
-// transaction that may continue.
-func (c *callerSession) nextCommand() (model.Command, error) {
-	command, err := c.conn.Next(c.readDeadline())
-	if err == nil || !isTimeout(err) || !c.server.endsIdleSessions() {
-		return command, err
+// endsAfter reports whether the session ends after the answer to a statement because the process stops or sheds its sessions. Right after the
+// answer to the last statement of an operation, the caller has sent nothing that the end of the session would cut off. A session whose
+// caller only sets it up continues, or it would end before its first operation.
+func (c *callerSession) endsAfter(kind model.CommandKind) bool {
+	if c.session.State != model.TxNone || !c.server.endsIdleSessions() {
+		return false
 	}
-	if c.session.State != model.TxNone && !c.drainExpired.Load() {
-		return c.conn.Next(c.readDeadline())
+	return kind.EndsOperation() || !c.server.mayRun(clock.Now())
+}
+
+// nextCommand waits for the next statement. After an interruption the session waits again: it may end now, and does so only after a last
+// short wait for a statement that is already on its way.
+func (c *callerSession) nextCommand() (model.Command, error) {
+	for {
+		command, err := c.conn.Next(c.readDeadline())
+		if !errors.Is(err, model.ErrInterrupted) {
+			return command, err
+		}
 	}
-	return c.conn.Next(time.Now().Add(finalReadTimeout))
 }
 
+// readDeadline returns until when the session waits for the next statement, or zero for no limit.
 func (c *callerSession) readDeadline() time.Time {
-	idle := time.Duration(0)
-	if p := c.server.config.Cache.Snapshot().Policy; p != nil {
-		idle = p.TxIdleTimeout
+	now := clock.Now()
+	wait := time.Duration(0)
+	if p := c.server.config.Cache.Snapshot().Policy; p != nil && c.session.State != model.TxNone {
+		wait = p.TxIdleTimeout
 	}
-	switch {
-	case c.session.State != model.TxNone && idle > 0:
-		return time.Now().Add(idle)
-	case c.server.endsIdleSessions():
-		return time.Now().Add(finalReadTimeout)
-	default:
+	if c.session.State != model.TxNone {
+		wait = c.server.transactionWait(now, wait)
+	} else if c.server.endsIdleSessions() {
+		wait = finalReadTimeout
+	}
+	if wait == 0 {
 		return time.Time{}
 	}
-}
-
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+	return clock.Wall(now.Add(wait))
 }
 
 // endTransaction ends the transaction that the session leaves open.
@@ -191,6 +194,9 @@
 	endSession bool
 }
 
+// stoppingDetail is the reason in a refusal by a process that stops.
+const stoppingDetail = "the VM stops"
+
 // admitOperation checks key, route and rate; see operation.refusal for a rejected operation. An operation that no instance can take is
 // rejected before it counts toward the rate of its team; primary is set if only the primary can take it.
 func (c *callerSession) admitOperation(now time.Time, primary bool) operation {
@@ -201,6 +207,11 @@
 		op.endSession = fault != model.FaultBusy
 		return op
 	}
+	if !c.server.mayRun(now) {
+		op.refusal = c.server.refuse(model.FaultBusy, stoppingDetail, defaultRetryAfter)
+		op.endSession = true
+		return op
+	}
 	c.server.readDemand.record(now, route)
 	if !c.awaitInstance(op, primary) {
 		op.refusal = c.server.refuse(model.FaultBusy, "no instance can take the operation now", defaultRetryAfter)
