The record of a primary names the replicas that acknowledged commits may rest on

Cause: that a replica had left or had started again was known only to processes that had seen it. A process that started later took the registered replicas for all that a commit may rest on and promoted the one that had received nothing. Other processes did so too after 20 s, although a primary that is down brings no replica up to date in that time.

Fix: the record in the store names the replicas, each with its start. One that registers is added at once. One that left is dropped after 20 s, or after another start, and only once a remaining one was found to hold what the primary held afterwards. A choice among all replicas, and reads that rest on all of them, need each recorded one. This takes the place of the windows of 20 s in memory, and of the wait for late registrations in these two decisions.

Tests: TestRestartedProcessesRememberAReplicaThatLeft (i-3 promoted, 20 commits lost before) and TestReplicaThatStartedAgainIsNotComplete (i-2 promoted before) fail on the code before. TestReplicaIsDroppedFromTheRecordOnceAnotherHasEverything guards the other side. The cases of TestChooseLosesNoAcknowledgedCommit name the recorded replicas in place of the flag; the tests of the windows are replaced by tests of the record, which ask for a proof in place of 20 s. The fixture of TestReplicasServeReadsWhileThePrimaryIsUnreachable keeps the replicas in its row, as every VM does.

--- a/coord/compare.go
+++ b/coord/compare.go
@@ -90,14 +90,14 @@
 func (r *replacement) compare(now time.Time) (model.Instance, bool) {
 	evidence := elect.Evidence{
 		Replicas: r.replicas, AllReleased: r.allReleased() && !r.s.config.Cache.VMRemovedRecently(now),
-		ReplicaRemoved: r.s.config.Cache.ReplicaRemovedRecently(now, r.group) || !r.s.config.Cache.AbsenceSettled(now),
+		Recorded: r.record.Replicas,
 	}
 	for _, release := range r.releases {
 		evidence.Releases = append(evidence.Releases, release)
 	}
 	chosen, ok := elect.Choose(evidence)
 	r.s.config.Log.Info("replicas compared", "group", r.group, "chosen", chosen.Instance.Name, "safe", ok, "replicas", describe(r.replicas),
-		"released", len(r.releases), "all-released", evidence.AllReleased, "replica-removed", evidence.ReplicaRemoved)
+		"recorded", names(r.record.Replicas), "released", len(r.releases), "all-released", evidence.AllReleased)
 	return chosen.Instance, ok
 }
 
--- a/coord/keep.go
+++ b/coord/keep.go
@@ -29,7 +29,9 @@
 // keep resumes the replicas and withdraws the announcement.
 func (r *replacement) keep(ctx context.Context) error {
 	r.callReplicas(model.InstanceConn.Resume)
-	version, err := r.writeRecord(ctx, state.PrimaryRecord{Group: r.group, Term: r.record.Term, Primary: r.old.Name})
+	version, err := r.writeRecord(ctx, state.PrimaryRecord{
+		Group: r.group, Term: r.record.Term, Primary: r.old.Name, Replicas: without(r.record.Replicas, r.old.Name),
+	})
 	r.s.config.Log.Info("primary kept", "group", r.group, "instance", r.old.Name, "term", r.record.Term, "row-version", version, "error", err)
 	return err
 }
--- a/coord/promote.go
+++ b/coord/promote.go
@@ -62,7 +62,7 @@
 	if err := r.renew(ctx); err != nil {
 		return err
 	}
-	version, err := r.writeRecord(ctx, state.PrimaryRecord{Group: r.group, Term: term, Primary: target.Name})
+	version, err := r.writeRecord(ctx, state.PrimaryRecord{Group: r.group, Term: term, Primary: target.Name, Replicas: r.nextReplicas(target)})
 	r.s.config.Log.Info("primary replaced", "group", r.group, "old-primary", r.record.Primary, "new-primary", target.Name, "term", term,
 		"after", clock.Now().Sub(r.announcedAt).Round(time.Millisecond), "row-version", version, "error", err)
 	if err != nil {
--- a/coord/supervisor.go
+++ b/coord/supervisor.go
@@ -71,6 +71,9 @@
 		// intentVersion is the version of the row with the last observed intent, and intentObservedAt is when that row was first observed.
 		intentVersion    int64
 		intentObservedAt time.Time
+		// compared is the snapshot in which the recorded replicas were last compared with the registered ones, and changes the result.
+		compared *state.Snapshot
+		changes  elect.ReplicaChanges
 	}
 )
 
@@ -138,6 +141,7 @@
 		health := s.config.Tracker.Health(now, primary.Name)
 		observed.FailingSince, observed.Failures = health.FailingSince, health.Failures
 		observed.StuckSince = s.config.Server.CommitStatus(now, group).StuckSince
+		observed.ReplicasOutdated = s.replicasOutdated(now, group, g, snapshot)
 	}
 	return observed
 }
@@ -178,15 +182,18 @@
 	return float64(xxhash.Sum64String(string(name))) / math.MaxUint64
 }
 
-// resolve records or replaces the primary of a group.
+// resolve records or replaces the primary of a group, or changes its record.
 func (s *Supervisor) resolve(ctx context.Context, group model.GroupName, cause elect.Cause) {
 	var err error
-	if cause == elect.CauseRecord {
+	switch cause {
+	case elect.CauseRecord:
 		err = s.recordPrimary(ctx, group)
-	} else {
+	case elect.CauseReplicas:
+		err = s.recordReplicas(ctx, group)
+	default:
 		err = s.replace(ctx, group, cause)
 	}
 	if err != nil {
-		s.config.Log.Warn("primary not recorded or replaced", "group", group, "cause", cause, "error", err)
+		s.config.Log.Warn("primary not recorded or replaced, or its record not changed", "group", group, "cause", cause, "error", err)
 	}
 }
--- a/elect/cause.go
+++ b/elect/cause.go
@@ -6,7 +6,7 @@
 	"github.com/crocusshore/crocusshore/model"
 )
 
-// Cause is the reason why a primary has to be recorded or replaced.
+// Cause is the reason why a primary has to be recorded or replaced, or its record changed.
 type Cause string
 
 const (
@@ -20,6 +20,8 @@
 	CauseSuspected Cause = "Suspected"
 	// CauseGone means that the primary is no longer registered.
 	CauseGone Cause = "Gone"
+	// CauseReplicas means that the record does not name the replicas that an acknowledged commit may rest on.
+	CauseReplicas Cause = "Replicas"
 	// CauseResume means that a replacement was announced and is not continued by the process that announced it.
 	CauseResume Cause = "Resume"
 )
@@ -56,9 +58,11 @@
 	Failures     int
 	// StuckSince is since when no commit was answered although some were sent, or zero.
 	StuckSince time.Time
+	// ReplicasOutdated reports that the recorded replicas have to be changed.
+	ReplicasOutdated bool
 }
 
-// Assess returns why the primary has to be recorded or replaced, if it has to.
+// Assess returns why the primary has to be recorded or replaced, or its record changed, if it has to.
 func Assess(now time.Time, s PrimaryState) Cause {
 	switch {
 	case !s.Recorded:
@@ -77,6 +81,8 @@
 		return CauseSuspected
 	case !s.StuckSince.IsZero() && now.Sub(s.StuckSince) >= stuckAfter:
 		return CauseSuspected
+	case s.ReplicasOutdated:
+		return CauseReplicas
 	default:
 		return CauseNone
 	}
--- a/elect/choose.go
+++ b/elect/choose.go
@@ -27,22 +27,22 @@
 		Releases []Release
 		// AllReleased reports whether every registered VM confirmed.
 		AllReleased bool
-		// ReplicaRemoved reports whether a replica was removed recently, possibly the only one that had received an acknowledged commit.
-		ReplicaRemoved bool
+		// Recorded are the recorded replicas, any of which may be the only one that had received an acknowledged commit; nil if unknown.
+		Recorded []model.Incarnation
 	}
 )
 
 // Choose returns the replica that takes over, or false if an acknowledged commit could be lost.
 //
-// A commit is acknowledged once one replica received it. So if all replicas were paused before they were compared, and none was
-// removed recently, the one with the furthest log has every acknowledged commit. Otherwise every VM must have confirmed, at least
+// A commit is acknowledged once one replica received it. So if all replicas were paused before they were compared, and all recorded ones are
+// among them, the one with the furthest log has every acknowledged commit. Otherwise every VM must have confirmed, at least
 // one must have observed an acknowledged position, and the furthest log must reach the highest such position.
 func Choose(e Evidence) (Replica, bool) {
 	best, found := furthest(e.Replicas)
 	if !found {
 		return Replica{}, false
 	}
-	if AllPaused(e.Replicas) && !e.ReplicaRemoved {
+	if AllPaused(e.Replicas) && CompareReplicas(e.Recorded, instances(e.Replicas)).Complete() {
 		return best, true
 	}
 	acked := highestAcked(e.Releases)
@@ -52,6 +52,14 @@
 	return best, true
 }
 
+func instances(replicas []Replica) []model.Instance {
+	all := make([]model.Instance, 0, len(replicas))
+	for _, r := range replicas {
+		all = append(all, r.Instance)
+	}
+	return all
+}
+
 // furthest returns the paused replica with the furthest log; of equal ones, it prefers one that is not leaving.
 func furthest(replicas []Replica) (Replica, bool) {
 	var best Replica
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -21,6 +21,13 @@
 	return Replica{Instance: model.Instance{Name: model.InstanceName(name)}, Paused: paused, Received: mark(1, position)}
 }
 
+// restarted returns a paused replica that started again after it was recorded.
+func restarted(name string, position int) Replica {
+	r := replica(name, true, position)
+	r.Instance.StartedAt = now
+	return r
+}
+
 func TestAssess(t *testing.T) {
 	healthy := PrimaryState{Recorded: true, Registered: true}
 	with := func(change func(*PrimaryState)) PrimaryState {
@@ -42,6 +49,10 @@
 		{"failing for a moment", with(func(s *PrimaryState) { s.Failures, s.FailingSince = 5, ago(100*time.Millisecond) }), CauseNone},
 		{"failing", with(func(s *PrimaryState) { s.Failures, s.FailingSince = 2, ago(400*time.Millisecond) }), CauseSuspected},
 		{"commits stuck", with(func(s *PrimaryState) { s.StuckSince = ago(time.Second) }), CauseSuspected},
+		{"recorded replicas outdated", with(func(s *PrimaryState) { s.ReplicasOutdated = true }), CauseReplicas},
+		{"failing, with outdated replicas", with(func(s *PrimaryState) {
+			s.ReplicasOutdated, s.Failures, s.FailingSince = true, 2, ago(400*time.Millisecond)
+		}), CauseSuspected},
 		{"announced by another VM", with(func(s *PrimaryState) { s.Announced, s.AnnouncedSince, s.Leaving = true, ago(time.Second), true }), CauseNone},
 		{"announced and not continued", with(func(s *PrimaryState) { s.Announced, s.AnnouncedSince = true, ago(6*time.Second) }), CauseResume},
 		{"announced by a run of our own that ended", with(func(s *PrimaryState) { s.Announced, s.OwnAnnouncement, s.AnnouncedSince = true, true, now }), CauseResume},
@@ -71,40 +82,65 @@
 	}
 }
 
+// recorded returns replicas that are recorded with the start that replica gives them.
+func recorded(names ...string) []model.Incarnation {
+	all := make([]model.Incarnation, 0, len(names))
+	for _, name := range names {
+		all = append(all, model.Incarnation{Name: model.InstanceName(name)})
+	}
+	return all
+}
+
 func TestChooseLosesNoAcknowledgedCommit(t *testing.T) {
 	for _, c := range []struct {
 		name     string
 		evidence Evidence
 		want     string
 	}{
-		{"the furthest of all", Evidence{Replicas: []Replica{replica("a", true, 5), replica("b", true, 7)}}, "b"},
-		{"one does not answer and no VM observed an acknowledged commit", Evidence{Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}, AllReleased: true}, ""},
+		{"the furthest of all", Evidence{Recorded: recorded("a", "b"), Replicas: []Replica{replica("a", true, 5), replica("b", true, 7)}}, "b"},
+		{"the furthest of the recorded ones and one that joined", Evidence{Recorded: recorded("a"), Replicas: []Replica{replica("a", true, 5), replica("b", true, 7)}}, "b"},
+		{"one that joined does not answer", Evidence{Recorded: recorded("a"), Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}}, ""},
+		{"which replicas there were is unknown", Evidence{Replicas: []Replica{replica("a", true, 5), replica("b", true, 7)}}, ""},
+		{
+			"a replica that no VM remembers has left",
+			Evidence{Recorded: recorded("a", "b"), Replicas: []Replica{replica("a", true, 5)}, AllReleased: true, Releases: []Release{{}, {}}},
+			"",
+		},
+		{
+			"a replica started again and holds nothing",
+			Evidence{
+				Recorded: recorded("a", "b"), Replicas: []Replica{replica("a", true, 5), restarted("b", 0)},
+				AllReleased: true, Releases: []Release{{Known: mark(1, 9)}},
+			},
+			"",
+		},
+		{"one does not answer and no VM observed an acknowledged commit", Evidence{Recorded: recorded("a", "b"), Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}, AllReleased: true}, ""},
 		{
 			"one does not answer, the other has what all VMs observed",
-			Evidence{Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}, AllReleased: true, Releases: []Release{{Known: mark(1, 5)}, {}}},
+			Evidence{Recorded: recorded("a", "b"), Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}, AllReleased: true, Releases: []Release{{Known: mark(1, 5)}, {}}},
 			"a",
 		},
 		{
 			"one does not answer and a VM observed more",
-			Evidence{Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}, AllReleased: true, Releases: []Release{{Known: mark(1, 6)}}},
+			Evidence{Recorded: recorded("a", "b"), Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}, AllReleased: true, Releases: []Release{{Known: mark(1, 6)}}},
 			"",
 		},
 		{
 			"one does not answer and a VM did not confirm",
-			Evidence{Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}, Releases: []Release{{Known: mark(1, 5)}}},
+			Evidence{Recorded: recorded("a", "b"), Replicas: []Replica{replica("a", true, 5), replica("b", false, 0)}, Releases: []Release{{Known: mark(1, 5)}}},
 			"",
 		},
 		{
 			// A leaving replica in the failure domain of the primary received commits and was removed, while the other replicas
 			// were partitioned from both (random run on ladica-split, scale-2, seed 421463716631).
 			"a replica was removed recently and the others do not have all that a VM observed",
-			Evidence{Replicas: []Replica{replica("a", true, 73), replica("b", true, 73)}, ReplicaRemoved: true, AllReleased: true, Releases: []Release{{Known: mark(1, 90)}}},
+			Evidence{Recorded: recorded("a", "b", "c"), Replicas: []Replica{replica("a", true, 73), replica("b", true, 73)}, AllReleased: true, Releases: []Release{{Known: mark(1, 90)}}},
 			"",
 		},
-		{"a replica was removed recently and a VM did not confirm", Evidence{Replicas: []Replica{replica("a", true, 73)}, ReplicaRemoved: true, Releases: []Release{{Known: mark(1, 73)}}}, ""},
-		{"a replica was removed recently and nothing is missing", Evidence{Replicas: []Replica{replica("a", true, 73)}, ReplicaRemoved: true, AllReleased: true, Releases: []Release{{Known: mark(1, 73)}}}, "a"},
-		{"none answers", Evidence{Replicas: []Replica{replica("a", false, 0)}}, ""},
-		{"none is there", Evidence{}, ""},
+		{"a replica was removed recently and a VM did not confirm", Evidence{Recorded: recorded("a", "c"), Replicas: []Replica{replica("a", true, 73)}, Releases: []Release{{Known: mark(1, 73)}}}, ""},
+		{"a replica was removed recently and nothing is missing", Evidence{Recorded: recorded("a", "c"), Replicas: []Replica{replica("a", true, 73)}, AllReleased: true, Releases: []Release{{Known: mark(1, 73)}}}, "a"},
+		{"none answers", Evidence{Recorded: recorded("a"), Replicas: []Replica{replica("a", false, 0)}}, ""},
+		{"none is there", Evidence{Recorded: recorded()}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			chosen, ok := Choose(c.evidence)
--- a/model/instance.go
+++ b/model/instance.go
@@ -33,6 +33,12 @@
 		StartedAt time.Time
 	}
 
+	// Incarnation identifies one start of an instance: after another start under the same name, the instance may hold nothing of its former log.
+	Incarnation struct {
+		Name      InstanceName
+		StartedAt time.Time
+	}
+
 	// InstanceState is the state that an instance reports for itself.
 	InstanceState struct {
 		Role Role
@@ -48,3 +54,13 @@
 		Connections int
 	}
 )
+
+// Incarnation returns the present start of the instance.
+func (i Instance) Incarnation() Incarnation {
+	return Incarnation{Name: i.Name, StartedAt: i.StartedAt}
+}
+
+// Equal reports whether two incarnations are the same start of the same instance.
+func (i Incarnation) Equal(other Incarnation) bool {
+	return i.Name == other.Name && i.StartedAt.Equal(other.StartedAt)
+}
--- a/node/replicas_test.go
+++ b/node/replicas_test.go
@@ -46,9 +46,9 @@
 // holdReplacement keeps the nodes from promoting for some seconds: another VM has announced that it replaces the primary.
 func (s *site) holdReplacement(t *testing.T) {
 	t.Helper()
-	row, err := state.PrimaryRecord{
-		Group: groupName, Term: 1, Primary: "i-1", Next: &state.Intent{Term: 2, Holder: "vm-elsewhere", Fence: 1 << 40},
-	}.Row()
+	record := s.nodes[0].cache.Snapshot().Primaries[groupName]
+	record.Next = &state.Intent{Term: 2, Holder: "vm-elsewhere", Fence: 1 << 40}
+	row, err := record.Row()
 	require.NoError(t, err)
 	s.rows.Put(row.Table, row.Key, row.Value)
 }
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -62,3 +63,62 @@
 	require.Empty(t, s.cluster.LostCommits())
 	require.True(t, s.serves(0))
 }
+
+// TestRestartedProcessesRememberAReplicaThatLeft guards against lost commits after a kill of all processes: only their memory told that a replica
+// had left which alone had received commits, so that the one that was left was promoted.
+func TestRestartedProcessesRememberAReplicaThatLeft(t *testing.T) {
+	const registrationsGone, watched = 3 * time.Second, 5 * time.Second
+	s := newSite(t, 3)
+	s.cluster.SetFaults("i-3", stand.DatabaseFaults{NoReplication: true})
+	s.commit(t, 20)
+	for _, name := range []model.InstanceName{"i-1", "i-2"} {
+		s.cluster.SetFaults(name, stand.DatabaseFaults{Down: true})
+		s.lapse(name)
+	}
+	time.Sleep(registrationsGone)
+	s.restartAll()
+	time.Sleep(watched)
+	primary, _ := s.cluster.Primary()
+	require.Equal(t, model.InstanceName("i-1"), primary)
+	require.Empty(t, s.cluster.LostCommits())
+	s.cluster.SetFaults("i-3", stand.DatabaseFaults{})
+	s.cluster.SetFaults("i-1", stand.DatabaseFaults{})
+	s.announce(s.cluster.Instance("i-1"), "ready")
+	require.Eventually(t, func() bool { return s.serves(0) }, 8*time.Second, 20*time.Millisecond, "the primary is back with its log")
+}
+
+// TestReplicaThatStartedAgainIsNotComplete guards against lost commits after a replica started again under its name: it holds nothing any more, and
+// the other replica, which had received nothing, was promoted although commits rested on the former one alone.
+func TestReplicaThatStartedAgainIsNotComplete(t *testing.T) {
+	const watched = 4 * time.Second
+	s := newSite(t, 3)
+	s.cluster.SetFaults("i-3", stand.DatabaseFaults{NoReplication: true})
+	s.commit(t, 20)
+	s.cluster.SetFaults("i-1", stand.DatabaseFaults{Unresponsive: true})
+	s.announce(s.cluster.Restart("i-2", time.Now()), "ready")
+	time.Sleep(watched)
+	primary, _ := s.cluster.Primary()
+	require.Equal(t, model.InstanceName("i-1"), primary)
+	require.Empty(t, s.cluster.LostCommits())
+	s.cluster.SetFaults("i-1", stand.DatabaseFaults{})
+	s.cluster.SetFaults("i-3", stand.DatabaseFaults{})
+	require.Eventually(t, func() bool { return s.serves(0) }, 8*time.Second, 20*time.Millisecond, "the primary answers again")
+}
+
+// TestReplicaIsDroppedFromTheRecordOnceAnotherHasEverything guards against a group that cannot replace its primary any more because a replica has
+// started again or left.
+func TestReplicaIsDroppedFromTheRecordOnceAnotherHasEverything(t *testing.T) {
+	s := newSite(t, 3)
+	s.commit(t, 5)
+	before := s.cluster.Instance("i-2").Incarnation()
+	again := s.cluster.Restart("i-2", time.Now().Truncate(time.Millisecond)) // The resolution of a registration.
+	s.announce(again, "ready")
+	recorded := func() []model.Incarnation { return s.nodes[0].cache.Snapshot().Primaries[groupName].Replicas }
+	has := func(want model.Incarnation) func() bool {
+		return func() bool { return slices.ContainsFunc(recorded(), want.Equal) }
+	}
+	require.Eventually(t, has(again.Incarnation()), 2*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return !has(before)() }, 4*time.Second, 10*time.Millisecond, "i-3 has everything")
+	s.cluster.SetFaults("i-1", stand.DatabaseFaults{Down: true})
+	require.Eventually(t, func() bool { return s.serves(0) }, 8*time.Second, 20*time.Millisecond)
+}
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -111,6 +111,7 @@
 func (s *site) announce(i model.Instance, state string) {
 	body, err := json.Marshal(map[string]any{
 		"Service": i.Group, "Addr": i.Address.String(), "Zone": i.Domain, "Slots": i.Slots, "State": state, "DbRole": strings.ToLower(string(i.Role)),
+		"born": i.StartedAt.UnixMilli(),
 	})
 	if err != nil {
 		panic(err)
--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -75,7 +75,7 @@
 		wait.Go(func() { s.pollPrimary(lease) })
 	}
 	if needs.replicas {
-		wait.Go(func() { s.pollReplicas(now, group, record.Term) })
+		wait.Go(func() { s.pollReplicas(group, record.Term) })
 	}
 	go func() {
 		wait.Wait()
@@ -105,8 +105,8 @@
 }
 
 // pollReplicas asks all replicas of a group for the positions that they received, while the primary cannot be asked.
-func (s *Server) pollReplicas(now time.Time, group model.GroupName, term model.Term) {
-	replicas, asOf, ok := s.config.Cache.Replicas(now, group)
+func (s *Server) pollReplicas(group model.GroupName, term model.Term) {
+	replicas, asOf, ok := s.config.Cache.Replicas(group)
 	if !ok {
 		return
 	}
--- a/stand/clusteraudit.go
+++ b/stand/clusteraudit.go
@@ -1,6 +1,10 @@
 package stand
 
-import "github.com/crocusshore/crocusshore/model"
+import (
+	"time"
+
+	"github.com/crocusshore/crocusshore/model"
+)
 
 // Violations returns the violations so far: order violations and lost commits.
 func (c *Cluster) Violations() []string {
@@ -32,6 +36,17 @@
 	return d.instance
 }
 
+// Restart starts an instance anew with an empty log, as a replica; it loses its faults, its pause and its connections.
+func (c *Cluster) Restart(name model.InstanceName, now time.Time) model.Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.databases[name]
+	d.log, d.faults, d.pausedTerm = nil, DatabaseFaults{}, 0
+	d.instance.Role, d.instance.StartedAt = model.RoleReplica, now
+	d.generation++
+	return d.instance
+}
+
 // OrderViolations returns the violations by orders for new primaries, that is, by orders under an older fencing token.
 func (c *Cluster) OrderViolations() []string {
 	c.mu.Lock()
--- a/state/absence_test.go
+++ b/state/absence_test.go
@@ -50,12 +50,18 @@
 	require.Zero(t, cache.AbsenceWait(at(14_000), "r"))
 }
 
-func TestReplicasAreNotCompleteUntilAbsenceIsSettled(t *testing.T) {
-	cache := newReplicated(t)
-	cache.instancesReadSince = at(-1000)
-	_, _, ok := cache.Replicas(at(100), "g")
-	require.False(t, ok)
-	read(cache, 500, 2000)
-	_, _, ok = cache.Replicas(at(2000), "g")
-	require.True(t, ok)
+// TestAbsentReplicaMayConfirmCommitsForAWhile guards against relying on the others while a replica may be cut off from the store only.
+func TestAbsentReplicaMayConfirmCommitsForAWhile(t *testing.T) {
+	const window = int(absentReplicaWindow / time.Millisecond)
+	cache := New(Config{})
+	cache.ApplyInstances(1, true, []model.Instance{{Name: "r", Group: "g"}}, nil, at(0))
+	read(cache, 500, window)
+	require.False(t, cache.AbsentReplicasGone(at(window-1), "g"), "the process started less than the window ago")
+	require.True(t, cache.AbsentReplicasGone(at(window), "g"))
+	cache.ApplyInstances(2, false, nil, []model.InstanceName{"r"}, at(window))
+	require.True(t, cache.RemoveInstance(at(window+3000), "r"))
+	read(cache, window, 2*window+3000)
+	require.False(t, cache.AbsentReplicasGone(at(2*window), "g"))
+	require.True(t, cache.AbsentReplicasGone(at(2*window+3000), "g"))
+	require.False(t, cache.AbsentReplicasGone(at(2*window+6000), "g"), "the store was not read for three seconds")
 }
--- a/state/cache.go
+++ b/state/cache.go
@@ -39,10 +39,8 @@
 		confirmed map[model.GroupName]int64
 		// expired holds the instances that are still in use although their registration is gone, and the instant as of which it was.
 		expired map[model.InstanceName]time.Time
-		// replicaRemovedAt holds when a replica of a group was last removed, and
-		// replicaRestartedAt when one last restarted.
-		replicaRemovedAt   map[model.GroupName]time.Time
-		replicaRestartedAt map[model.GroupName]time.Time
+		// replicaRemovedAt holds when a replica of a group was last removed.
+		replicaRemovedAt map[model.GroupName]time.Time
 		// instancesCurrentAt is the newest instant at which no registration was newer than those applied here, and instancesReadSince the
 		// instant since which the registrations have been read without a gap of maxUnreadTime.
 		instancesCurrentAt time.Time
@@ -55,14 +53,13 @@
 // New returns an empty cache.
 func New(config Config) *Cache {
 	c := &Cache{
-		config:             config,
-		tableVersions:      map[model.TableName]int64{},
-		termCheckedAt:      map[model.GroupName]time.Time{},
-		revoked:            map[model.GroupName]int64{},
-		confirmed:          map[model.GroupName]int64{},
-		expired:            map[model.InstanceName]time.Time{},
-		replicaRemovedAt:   map[model.GroupName]time.Time{},
-		replicaRestartedAt: map[model.GroupName]time.Time{},
+		config:           config,
+		tableVersions:    map[model.TableName]int64{},
+		termCheckedAt:    map[model.GroupName]time.Time{},
+		revoked:          map[model.GroupName]int64{},
+		confirmed:        map[model.GroupName]int64{},
+		expired:          map[model.InstanceName]time.Time{},
+		replicaRemovedAt: map[model.GroupName]time.Time{},
 	}
 	c.snapshot.Store(newSnapshot())
 	return c
@@ -106,9 +103,6 @@
 	next := c.snapshot.Load().clone()
 	registered := make(map[model.InstanceName]bool, len(present))
 	for _, i := range present {
-		if before, known := next.Instances[i.Name]; known && !before.StartedAt.Equal(i.StartedAt) && next.Primaries[i.Group].Primary != i.Name {
-			c.replicaRestartedAt[i.Group] = at
-		}
 		next.Instances[i.Name] = i
 		registered[i.Name] = true
 		delete(c.expired, i.Name)
@@ -150,18 +144,6 @@
 	return true
 }
 
-// soleReplicaWindow bounds how long a removed or restarted replica may have been the only one that had received an acknowledged commit:
-// the others receive it within the replication lag.
-const soleReplicaWindow = 20 * time.Second
-
-// ReplicaRemovedRecently reports whether a replica of a group was removed within soleReplicaWindow.
-func (c *Cache) ReplicaRemovedRecently(now time.Time, group model.GroupName) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	at, known := c.replicaRemovedAt[group]
-	return known && now.Sub(at) < soleReplicaWindow
-}
-
 // instancesTable is the key of the registrations in tableVersions.
 const instancesTable model.TableName = "Instances"
 
@@ -207,12 +189,15 @@
 	}
 }
 
-// VMRemovedRecently reports whether the row of a VM was deleted within soleReplicaWindow: such a VM cannot be asked which commits it
+// removedVMWindow is how long the commits that a VM acknowledged before its row was deleted may be unknown to all others.
+const removedVMWindow = 20 * time.Second
+
+// VMRemovedRecently reports whether the row of a VM was deleted within removedVMWindow: such a VM cannot be asked which commits it
 // observed to be acknowledged.
 func (c *Cache) VMRemovedRecently(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.vmRemovedAt.IsZero() && now.Sub(c.vmRemovedAt) < soleReplicaWindow
+	return !c.vmRemovedAt.IsZero() && now.Sub(c.vmRemovedAt) < removedVMWindow
 }
 
 // TableCurrentAt returns the newest instant at which the cached rows of Table are known to have been current.
--- a/state/replicas_test.go
+++ b/state/replicas_test.go
@@ -10,45 +10,78 @@
 	"github.com/crocusshore/crocusshore/policy"
 )
 
-// newReplicated returns the cache of a VM with a replicated group of a primary and two replicas, current at instant 0. The registrations have
-// been read for long enough that no other replica is missing.
+// newReplicated returns the cache of a VM with a replicated group of a primary and two replicas, current at instant 0.
 func newReplicated(t *testing.T) *Cache {
 	t.Helper()
 	cache := newRegistered(t)
 	cache.SetPolicy(1, &policy.Policy{Version: 1, Groups: map[model.GroupName]policy.Group{"g": {Name: "g", Replicated: true}}})
 	cache.ApplyInstances(2, false, []model.Instance{{Name: "r1", Group: "g"}, {Name: "r2", Group: "g"}}, nil, at(0))
-	cache.instancesReadSince = at(0).Add(-registrationGracePeriod)
+	recordReplicas(t, cache, 6, []model.Incarnation{{Name: "r1"}, {Name: "r2"}}, at(0))
 	return cache
 }
 
+// recordReplicas applies a primary record with the given replicas.
+func recordReplicas(t *testing.T, cache *Cache, version int64, replicas []model.Incarnation, now time.Time) {
+	t.Helper()
+	row, err := PrimaryRecord{Group: "g", Term: 1, Primary: "p", Replicas: replicas}.Row()
+	require.NoError(t, err)
+	row.Version = version
+	require.NoError(t, cache.ApplyRows(version, false, []model.StoredRow{row}, now))
+}
+
 func TestReplicaListIsCompleteAsOfTheLastAnswerOfTheStore(t *testing.T) {
 	cache := newReplicated(t)
-	replicas, asOf, ok := cache.Replicas(at(100), "g")
+	replicas, asOf, ok := cache.Replicas("g")
 	require.True(t, ok)
 	require.Len(t, replicas, 2, "the primary is not among them")
 	require.Equal(t, at(0), asOf)
 	cache.ApplyInstances(2, false, nil, nil, at(500))
-	_, asOf, _ = cache.Replicas(at(600), "g")
-	require.Equal(t, at(500), asOf, "an answer without changes confirms them")
+	_, asOf, _ = cache.Replicas("g")
+	require.Equal(t, at(0), asOf, "a replica may have been recorded and have left since the record was read")
+	require.NoError(t, cache.ApplyRows(6, false, nil, at(400)))
+	_, asOf, _ = cache.Replicas("g")
+	require.Equal(t, at(400), asOf, "answers without changes confirm them")
 }
 
+// TestReplicasMayLackCommitsAfterRemovalOrRestart guards against reads on replicas that lack what only another one had received: it has left or
+// restarted, which a process that started since cannot remember.
 func TestReplicasMayLackCommitsAfterRemovalOrRestart(t *testing.T) {
-	for name, change := range map[string]func(cache *Cache){
-		"removed": func(cache *Cache) {
-			cache.ApplyInstances(3, false, nil, []model.InstanceName{"r1"}, at(1000))
-			require.True(t, cache.RemoveInstance(at(1000), "r1"))
+	restarted := model.Instance{Name: "r1", Group: "g", StartedAt: time.UnixMilli(7)}
+	for name, c := range map[string]struct {
+		change func(cache *Cache)
+		after  []model.Incarnation
+	}{
+		"removed": {
+			change: func(cache *Cache) {
+				cache.ApplyInstances(3, false, nil, []model.InstanceName{"r1"}, at(1000))
+				require.True(t, cache.RemoveInstance(at(1000), "r1"))
+			},
+			after: []model.Incarnation{{Name: "r2"}},
+		},
+		"restarted": {
+			change: func(cache *Cache) { cache.ApplyInstances(3, false, []model.Instance{restarted}, nil, at(1000)) },
+			after:  []model.Incarnation{{Name: "r2"}, restarted.Incarnation()},
+		},
+		"not registered again since the start of this process": {
+			change: func(cache *Cache) {
+				cache.ApplyInstances(3, true, []model.Instance{{Name: "p", Group: "g"}, {Name: "r2", Group: "g"}}, nil, at(1000))
+				cache.RemoveInstance(at(1000), "r1")
+			},
+			after: []model.Incarnation{{Name: "r2"}},
 		},
-		"restarted": func(cache *Cache) {
-			cache.ApplyInstances(3, false, []model.Instance{{Name: "r1", Group: "g", StartedAt: time.UnixMilli(7)}}, nil, at(1000))
+		"unknown": {
+			change: func(cache *Cache) { recordReplicas(t, cache, 7, nil, at(1000)) },
+			after:  []model.Incarnation{{Name: "r1"}, {Name: "r2"}},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cache := newReplicated(t)
-			change(cache)
-			_, _, ok := cache.Replicas(at(1100), "g")
+			c.change(cache)
+			_, _, ok := cache.Replicas("g")
 			require.False(t, ok)
-			_, _, ok = cache.Replicas(at(1000).Add(soleReplicaWindow), "g")
-			require.True(t, ok)
+			recordReplicas(t, cache, 8, c.after, at(2000))
+			_, _, ok = cache.Replicas("g")
+			require.True(t, ok, "the others were found to hold everything")
 		})
 	}
 }
@@ -56,6 +89,6 @@
 func TestReplicasOfUnreplicatedGroupAreNotUsed(t *testing.T) {
 	cache := newReplicated(t)
 	cache.SetPolicy(2, &policy.Policy{Version: 2, Groups: map[model.GroupName]policy.Group{"g": {Name: "g"}}})
-	_, _, ok := cache.Replicas(at(100), "g")
+	_, _, ok := cache.Replicas("g")
 	require.False(t, ok)
 }
--- a/state/rows.go
+++ b/state/rows.go
@@ -26,6 +26,9 @@
 		Group   model.GroupName
 		Term    model.Term
 		Primary model.InstanceName
+		// Replicas are the replicas that an acknowledged commit may rest on: those that were registered in the term, until they have left and
+		// another one has been found to hold all that they confirmed. They are nil if unknown.
+		Replicas []model.Incarnation
 		// Next is set from the announcement of a replacement until the next primary is recorded or the old one is kept.
 		Next *Intent `json:",omitempty"`
 		// Version is the version of the row.
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"sort"
 
 	"github.com/crocusshore/crocusshore/model"
@@ -61,6 +62,12 @@
 	return members
 }
 
+// GroupReplicas returns the instances of a group other than its recorded primary, in the order of their names.
+func (s *Snapshot) GroupReplicas(group model.GroupName) []model.Instance {
+	primary := s.Primaries[group].Primary
+	return slices.DeleteFunc(s.GroupInstances(group), func(i model.Instance) bool { return i.Name == primary })
+}
+
 // Groups returns the names of all groups that have an instance or a primary record, in order.
 func (s *Snapshot) Groups() []model.GroupName {
 	seen := map[model.GroupName]bool{}
