A primary that registers again during its replacement is recognised under its own name

What callers saw: a group without a primary for up to 15 s although its primary was back.

Cause: a run that began while the primary was not registered looks for it under other names only, since it usually comes back under one. It ended after 15 s, or another VM continued it after 6 s.

Fix: the run looks for an instance that reports to be the primary of the term, whatever its name.

--- a/coord/returned.go
+++ b/coord/returned.go
@@ -7,14 +7,14 @@
 )
 
 // errReturned ends a run that began without the old primary; the next run hands over from it.
-var errReturned = errors.New("the old primary is back under another name")
+var errReturned = errors.New("the old primary is back")
 
-// findReturned looks for the old primary under another name after its registration was removed. If it finds the instance, it sets old
-// to it. An instance that restarts with its log registers again and continues as primary of its term if no replica was promoted
-// meanwhile.
+// findReturned looks for the old primary, which was not registered when the run began. If it finds the instance, under its name or another one,
+// it sets old to it. An instance that restarts with its log registers again and continues as primary of its term if no replica was
+// promoted meanwhile.
 func (r *replacement) findReturned() bool {
 	for _, instance := range r.s.config.Cache.Snapshot().GroupInstances(r.group) {
-		if instance.Role != model.RolePrimary || instance.Name == r.record.Primary {
+		if instance.Role != model.RolePrimary {
 			continue
 		}
 		state, err := r.s.status(instance)
@@ -22,7 +22,7 @@
 			continue
 		}
 		r.old, r.oldKnown = instance, true
-		r.s.config.Log.Info("old primary is back under another name", "group", r.group, "instance", instance.Name, "old-primary", r.record.Primary,
+		r.s.config.Log.Info("old primary is back", "group", r.group, "instance", instance.Name, "old-primary", r.record.Primary,
 			"term", state.Term, "received", state.Received)
 		return true
 	}
--- a/node/returned_test.go
+++ b/node/returned_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/platform"
 	"github.com/crocusshore/crocusshore/stand"
 )
@@ -31,3 +32,22 @@
 	s.cluster.SetFaults("i-2", stand.DatabaseFaults{})
 	w.finish(t, s)
 }
+
+// TestPrimaryThatRegistersAgainDuringItsReplacementServes guards against a group that stays without a primary for the rest of a run: the run had
+// begun while the primary was not registered, no replica could take over, and it looked for the primary under other names only. Another VM
+// continued it six seconds later.
+func TestPrimaryThatRegistersAgainDuringItsReplacementServes(t *testing.T) {
+	const begun, soon, watched = 5 * time.Second, 2500 * time.Millisecond, 4 * time.Second
+	s := newSite(t, 3)
+	s.commit(t, 5)
+	for _, name := range []model.InstanceName{"i-1", "i-2"} {
+		s.cluster.SetFaults(name, stand.DatabaseFaults{Down: true})
+		s.lapse(name)
+	}
+	s.restartAll() // The new processes don't know the primary.
+	time.Sleep(begun)
+	s.cluster.SetFaults("i-1", stand.DatabaseFaults{})
+	s.announce(s.cluster.Instance("i-1"), "ready")
+	require.Eventually(t, func() bool { return s.serves(0) }, soon, 20*time.Millisecond)
+	require.Never(t, func() bool { return !s.serves(0) }, watched, 100*time.Millisecond, "no run that was overtaken pauses the replicas again")
+}
