A replacement ends where another VM has continued it, and compares at intervals

Cause: a run may last 15 s, its coordinator lease 4.5 s. When another VM continues the replacement after 6 s, the first run went on: it paused the replicas again that the other one had resumed for a primary that it kept, so that no commit was confirmed. While no replica could take over, it also asked all replicas and logged a comparison every 25 ms (seen in the log of the test: 40 lines a second).

Fix: the run ends as soon as the record is newer than what it wrote itself. After a comparison without a result the next one follows after 200 ms, and one with the same result is not logged.

--- a/coord/compare.go
+++ b/coord/compare.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -20,7 +21,8 @@
 //
 // A primary that still answers is demoted first, and a replica that has its full log takes over. Otherwise all replicas are
 // paused and compared. In both cases every lease on the old primary must have ended. choose returns errKept if the old primary stays the
-// primary. It returns errReturned if the old primary is back under another name, so that the next run has to hand over from it.
+// primary. It returns errReturned if the old primary is back, so that the next run has to hand over from it, and errSuperseded if the record was
+// changed by another VM, whose decisions this one must not undo.
 func (r *replacement) choose(ctx context.Context) (model.Instance, error) {
 	target, handedOver, err := r.handOver(ctx)
 	if err != nil {
@@ -28,14 +30,18 @@
 	}
 	for askedAt := r.announcedAt; ; {
 		now := clock.Now()
+		if r.superseded() {
+			return model.Instance{}, errSuperseded
+		}
 		if handedOver && r.allReleased() {
 			return target, nil
 		}
 		r.pause(now)
-		if r.leasesEnded(now) && r.recheckPause() {
+		if r.leasesEnded(now) && now.Sub(r.comparedAt) >= retryInterval && r.recheckPause() {
 			if handedOver {
 				return target, nil
 			}
+			r.comparedAt = now
 			if chosen, ok := r.compare(now); ok {
 				return chosen, nil
 			}
@@ -96,11 +102,30 @@
 		evidence.Releases = append(evidence.Releases, release)
 	}
 	chosen, ok := elect.Choose(evidence)
-	r.s.config.Log.Info("replicas compared", "group", r.group, "chosen", chosen.Instance.Name, "safe", ok, "replicas", describe(r.replicas),
-		"recorded", names(r.record.Replicas), "released", len(r.releases), "all-released", evidence.AllReleased)
+	r.logComparison(evidence, chosen.Instance, ok)
 	return chosen.Instance, ok
 }
 
+// logComparison logs a comparison, unless it is like the one before.
+func (r *replacement) logComparison(evidence elect.Evidence, chosen model.Instance, safe bool) {
+	replicas := describe(r.replicas)
+	described := fmt.Sprint(safe, replicas, len(r.releases), evidence.AllReleased)
+	if described == r.lastComparison {
+		return
+	}
+	r.lastComparison = described
+	r.s.config.Log.Info("replicas compared", "group", r.group, "chosen", chosen.Name, "safe", safe, "replicas", replicas,
+		"recorded", names(r.record.Replicas), "released", len(r.releases), "all-released", evidence.AllReleased)
+}
+
+// errSuperseded ends a run whose record was changed by another VM.
+var errSuperseded = errors.New("another VM continues the replacement")
+
+// superseded reports whether the record has changed since this run announced the replacement. The run may outlast its coordinator lease.
+func (r *replacement) superseded() bool {
+	return r.s.config.Cache.Snapshot().Primaries[r.group].Version > r.record.Version
+}
+
 // callReplicas sends an order or a status request to all replicas in parallel and returns their answers. A replica that does not answer
 // counts as not paused.
 func (r *replacement) callReplicas(run func(model.InstanceConn, time.Time) (model.InstanceState, error)) []elect.Replica {
--- a/coord/replace.go
+++ b/coord/replace.go
@@ -62,6 +62,9 @@
 	// replicas are the replicas as last observed, and pauseTriedAt is when the last attempt to pause them began.
 	replicas     []elect.Replica
 	pauseTriedAt time.Time
+	// comparedAt is when the replicas were last compared, and lastComparison describes the result as it was logged.
+	comparedAt     time.Time
+	lastComparison string
 }
 
 // replace replaces the primary of a group. If the primary is only suspected, it asks other VMs for their opinions first. It does nothing
--- a/node/returned_test.go
+++ b/node/returned_test.go
@@ -51,3 +51,31 @@
 	require.Eventually(t, func() bool { return s.serves(0) }, soon, 20*time.Millisecond)
 	require.Never(t, func() bool { return !s.serves(0) }, watched, 100*time.Millisecond, "no run that was overtaken pauses the replicas again")
 }
+
+// TestReplacementContinuedByAnotherVMEndsHere guards against replicas that are paused for nobody: a run that waited for a missing replica went on
+// when another VM had continued the replacement, and paused the replicas again that the other VM had resumed.
+func TestReplacementContinuedByAnotherVMEndsHere(t *testing.T) {
+	const begun, watched = 4 * time.Second, time.Second
+	s := newSite(t, 3)
+	s.cluster.SetFaults("i-3", stand.DatabaseFaults{NoReplication: true})
+	s.commit(t, 5)
+	for _, name := range []model.InstanceName{"i-1", "i-2"} {
+		s.cluster.SetFaults(name, stand.DatabaseFaults{Down: true})
+		s.lapse(name)
+	}
+	time.Sleep(begun)
+	deadline := time.Now().Add(2 * watched)
+	conn, err := s.cluster.Dial(deadline, s.cluster.Instance("i-3"), model.ProxyTeam)
+	require.NoError(t, err)
+	paused, err := conn.Status(deadline)
+	require.NoError(t, err)
+	require.Equal(t, model.Term(2), paused.Held, "the replacement waits for i-2")
+	s.holdReplacement(t)
+	time.Sleep(watched / 2)
+	_, err = conn.Resume(deadline)
+	require.NoError(t, err)
+	time.Sleep(watched)
+	resumed, err := conn.Status(deadline)
+	require.NoError(t, err)
+	require.Less(t, resumed.Held, model.Term(2))
+}
