Failed attempts to drop recorded replicas pause for three seconds

Cause: while no replica has everything (one receives nothing for seconds), each reader of the store asked the primary and all replicas every 200 ms for 1.5 s, with a pause of 0.7 s. Seen by reading; probes are dear to the users.

Fix: an attempt lasts 0.7 s, and the next one follows after 3 s. What has left for good is decided in one function for the assessment and for the change.

--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -14,6 +14,13 @@
 	"github.com/crocusshore/crocusshore/state"
 )
 
+const (
+	// confirmTimeout bounds the wait for a replica that holds all that the primary has; it spans the usual replication lag.
+	confirmTimeout = 700 * time.Millisecond
+	// dropRetryDelay is the pause after an attempt to drop replicas that failed, since each attempt asks all replicas.
+	dropRetryDelay = 3 * time.Second
+)
+
 // replicasOutdated reports whether this VM may have to change the recorded replicas of a group. Only the VMs that read the store drop replicas
 // that have left, since this takes requests to instances.
 func (s *Supervisor) replicasOutdated(now time.Time, group model.GroupName, g *groupState, snapshot *state.Snapshot) bool {
@@ -21,18 +28,22 @@
 		g.compared = snapshot
 		g.changes = elect.CompareReplicas(snapshot.Primaries[group].Replicas, registeredReplicas(snapshot, group))
 	}
-	if len(g.changes.Joined) > 0 && !g.changes.Unknown {
+	if !g.changes.Unknown && len(g.changes.Joined) > 0 {
 		return true
 	}
-	return s.droppable(now, group, g.changes) && s.turn(now).Reader >= 0
+	if _, left := s.departed(now, group, g.changes); !left || now.Before(g.dropNotBefore) {
+		return false
+	}
+	return s.turn(now).Reader >= 0
 }
 
-// droppable reports whether recorded replicas have left for good, so that nothing rests on them once the others hold what they confirmed.
-func (s *Supervisor) droppable(now time.Time, group model.GroupName, changes elect.ReplicaChanges) bool {
-	if len(changes.Restarted) > 0 {
-		return true
+// departed returns the changes without the absent replicas that may still confirm commits, and whether there are replicas that have left.
+func (s *Supervisor) departed(now time.Time, group model.GroupName, changes elect.ReplicaChanges) (elect.ReplicaChanges, bool) {
+	if !s.config.Cache.AbsentReplicasGone(now, group) {
+		changes.Gone = nil
+		return changes, len(changes.Restarted) > 0
 	}
-	return !changes.Complete() && s.config.Cache.AbsentReplicasGone(now, group)
+	return changes, !changes.Complete()
 }
 
 // registeredReplicas returns the registered instances of a group that may confirm commits of its primary. An instance that reports that it is a
@@ -50,20 +61,17 @@
 	}
 	present := registeredReplicas(snapshot, group)
 	changes := elect.CompareReplicas(record.Replicas, present)
-	replicas := changes.Add(record.Replicas)
-	if len(changes.Joined) == 0 || changes.Unknown {
-		if !s.droppable(clock.Now(), group, changes) {
-			return nil
-		}
-		if len(changes.Gone) > 0 && !s.config.Cache.AbsentReplicasGone(clock.Now(), group) {
-			changes.Gone = nil
-		}
-		if err := s.awaitReplicaWithAll(ctx, primary, record, present); err != nil {
-			return err
-		}
-		replicas = changes.Drop(record.Replicas)
+	if !changes.Unknown && len(changes.Joined) > 0 {
+		return s.writeReplicas(ctx, record, changes.Add(record.Replicas))
+	}
+	changes, left := s.departed(clock.Now(), group, changes)
+	if !left {
+		return nil
+	}
+	if err := s.awaitReplicaWithAll(ctx, primary, record, present); err != nil {
+		return err
 	}
-	return s.writeReplicas(ctx, record, replicas)
+	return s.writeReplicas(ctx, record, changes.Drop(record.Replicas))
 }
 
 // awaitReplicaWithAll waits until a replica holds all that the primary has now, which includes every commit that a replica confirmed which has
@@ -76,7 +84,7 @@
 	if reported.Role != model.RolePrimary || reported.Term != record.Term {
 		return errors.Newf("instance %s is not the primary of term %d", primary.Name, record.Term)
 	}
-	for until := clock.Now().Add(catchUpTimeout); clock.Now().Before(until); {
+	for until := clock.Now().Add(confirmTimeout); clock.Now().Before(until); {
 		for _, replica := range replicas {
 			state, err := s.status(replica)
 			if err == nil && state.Role == model.RoleReplica && state.Term == record.Term && !state.Received.Before(reported.Received) {
--- a/coord/supervisor.go
+++ b/coord/supervisor.go
@@ -74,6 +74,8 @@
 		// compared is the snapshot in which the recorded replicas were last compared with the registered ones, and changes the result.
 		compared *state.Snapshot
 		changes  elect.ReplicaChanges
+		// dropNotBefore is when the next attempt to drop replicas may start.
+		dropNotBefore time.Time
 	}
 )
 
@@ -115,10 +117,13 @@
 	}
 	g.busy = true
 	go func() {
-		s.resolve(ctx, group, cause)
+		err := s.resolve(ctx, group, cause)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		g.busy, g.notBefore = false, clock.Now().Add(retryDelay)
+		if err != nil && cause == elect.CauseReplicas {
+			g.dropNotBefore = clock.Now().Add(dropRetryDelay)
+		}
 	}()
 }
 
@@ -183,7 +188,7 @@
 }
 
 // resolve records or replaces the primary of a group, or changes its record.
-func (s *Supervisor) resolve(ctx context.Context, group model.GroupName, cause elect.Cause) {
+func (s *Supervisor) resolve(ctx context.Context, group model.GroupName, cause elect.Cause) error {
 	var err error
 	switch cause {
 	case elect.CauseRecord:
@@ -196,4 +201,5 @@
 	if err != nil {
 		s.config.Log.Warn("primary not recorded or replaced, or its record not changed", "group", group, "cause", cause, "error", err)
 	}
+	return err
 }
