--- a/serve/read.go
+++ b/serve/read.go
@@ -33,7 +33,7 @@
 
 // read runs a single read, and runs it on another instance if one does not answer or cannot take it.
 func (c *callerSession) read(op operation, s statement) model.Reply {
-	deadline := c.server.statementDeadline(op.startedAt, op.route.Timeout)
+	deadline := c.server.drain.Load().statementDeadline(op.startedAt, op.route.Timeout)
 	step := sess.Step{Kind: sess.StepRead}
 	var last attempt
 	var lastInstance model.InstanceName
--- a/serve/server.go
+++ b/serve/server.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,7 +8,6 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/place"
@@ -99,55 +97,6 @@
 	return len(s.sessions)
 }
 
-// DrainPlan holds the instants by which a server that stops ends its work.
-type DrainPlan struct {
-	// TransactionsUntil is until when a transaction may be idle.
-	TransactionsUntil time.Time
-	// StatementsUntil is until when statements run; later ones are refused, and an unanswered one is given up.
-	StatementsUntil time.Time
-}
-
-// Drain ends idle sessions at once and the others after their operation, as planned; it returns once idle transactions have to end.
-func (s *Server) Drain(ctx context.Context, plan DrainPlan) {
-	s.drain.Store(&plan)
-	s.interrupt(false)
-	timer := time.NewTimer(plan.TransactionsUntil.Sub(clock.Now()))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		s.interrupt(true)
-	case <-ctx.Done():
-	}
-}
-
-// transactionWait returns how long a transaction may be idle that may otherwise be so for idle, or without limit if idle is 0.
-func (s *Server) transactionWait(now time.Time, idle time.Duration) time.Duration {
-	plan := s.drain.Load()
-	if plan == nil {
-		return idle
-	}
-	left := max(finalReadTimeout, plan.TransactionsUntil.Sub(now))
-	if idle == 0 {
-		return left
-	}
-	return min(idle, left)
-}
-
-// mayRun reports whether a statement may still run now.
-func (s *Server) mayRun(now time.Time) bool {
-	plan := s.drain.Load()
-	return plan == nil || now.Before(plan.StatementsUntil)
-}
-
-// statementDeadline returns the deadline of a statement with a timeout. A server that stops answers before it ends.
-func (s *Server) statementDeadline(now time.Time, timeout time.Duration) time.Time {
-	deadline := now.Add(timeout)
-	if plan := s.drain.Load(); plan != nil && plan.StatementsUntil.Before(deadline) {
-		return plan.StatementsUntil
-	}
-	return deadline
-}
-
 // SetShedding starts or stops ending sessions that are idle outside a transaction, so that their callers reconnect through other VMs.
 func (s *Server) SetShedding(shedding bool) {
 	s.shedding.Store(shedding)
--- a/serve/session.go
+++ b/serve/session.go
@@ -13,12 +13,8 @@
 	"github.com/crocusshore/crocusshore/sess"
 )
 
-const (
-	// helloTimeout bounds the wait for the first message of a session.
-	helloTimeout = 5 * time.Second
-	// finalReadTimeout is the timeout of the last read before a session is closed, for a statement that is already on its way.
-	finalReadTimeout = 60 * time.Millisecond
-)
+// helloTimeout bounds the wait for the first message of a session.
+const helloTimeout = 5 * time.Second
 
 // callerSession is the server side of one caller's session.
 type callerSession struct {
@@ -84,22 +80,12 @@
 		reply = c.server.addRetryAdvice(reply)
 		reply.State = c.session.State
 		c.inTransaction.Store(c.session.State != model.TxNone)
-		if err := c.conn.Answer(reply); err != nil || last || c.endsAfter(command.Kind) {
+		if err := c.conn.Answer(reply); err != nil || last || c.endsAfter(clock.Now(), command.Kind) {
 			return
 		}
 	}
 }
 
-// endsAfter reports whether the session ends after the answer to a statement because the process stops or sheds its sessions. Right after the
-// answer to the last statement of an operation, the caller has sent nothing that the end of the session would cut off. A session whose
-// caller only sets it up continues, or it would end before its first operation.
-func (c *callerSession) endsAfter(kind model.CommandKind) bool {
-	if c.session.State != model.TxNone || !c.server.endsIdleSessions() {
-		return false
-	}
-	return kind.EndsOperation() || !c.server.mayRun(clock.Now())
-}
-
 // nextCommand waits for the next statement. After an interruption the session waits again: it may end now, and does so only after a last
 // short wait for a statement that is already on its way.
 func (c *callerSession) nextCommand() (model.Command, error) {
@@ -119,7 +105,7 @@
 		wait = p.TxIdleTimeout
 	}
 	if c.session.State != model.TxNone {
-		wait = c.server.transactionWait(now, wait)
+		wait = c.server.drain.Load().transactionWait(now, wait)
 	} else if c.server.endsIdleSessions() {
 		wait = finalReadTimeout
 	}
@@ -194,9 +180,6 @@
 	endSession bool
 }
 
-// stoppingDetail is the reason in a refusal by a process that stops.
-const stoppingDetail = "the VM stops"
-
 // admitOperation checks key, route and rate; see operation.refusal for a rejected operation. An operation that no instance can take is
 // rejected before it counts toward the rate of its team; primary is set if only the primary can take it.
 func (c *callerSession) admitOperation(now time.Time, primary bool) operation {
@@ -207,7 +190,7 @@
 		op.endSession = fault != model.FaultBusy
 		return op
 	}
-	if !c.server.mayRun(now) {
+	if !c.server.drain.Load().mayRun(now) {
 		op.refusal = c.server.refuse(model.FaultBusy, stoppingDetail, defaultRetryAfter)
 		op.endSession = true
 		return op
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -48,12 +48,12 @@
 		return c.failTransaction(model.Reply{Fault: fault, Detail: command.Name})
 	}
 	now := clock.Now()
-	if !c.server.mayRun(now) {
+	if !c.server.drain.Load().mayRun(now) {
 		return c.failTransaction(model.Reply{Fault: model.FaultAborted, Detail: stoppingDetail})
 	}
 	op := c.tx.op
 	op.startedAt = now
-	deadline := c.server.statementDeadline(now, op.route.Timeout)
+	deadline := c.server.drain.Load().statementDeadline(now, op.route.Timeout)
 	reply, ok := c.bind(now, deadline, command)
 	if ok {
 		reply = c.sendInTransaction(deadline, s)
@@ -156,13 +156,13 @@
 		return model.Reply{Fault: model.FaultAborted, Detail: "the transaction failed before"}
 	}
 	now := clock.Now()
-	if !c.server.mayRun(now) {
+	if !c.server.drain.Load().mayRun(now) {
 		c.closeTransaction()
 		return model.Reply{Fault: model.FaultAborted, Detail: stoppingDetail}
 	}
 	op := c.tx.op
 	op.startedAt = now
-	deadline := c.server.statementDeadline(now, op.route.Timeout)
+	deadline := c.server.drain.Load().statementDeadline(now, op.route.Timeout)
 	reply, ok := c.bind(now, deadline, command)
 	if ok {
 		reply = c.runCommit(op, command, deadline)
--- a/serve/write.go
+++ b/serve/write.go
@@ -33,7 +33,7 @@
 // write runs a single write at most once.
 func (c *callerSession) write(op operation, s statement) model.Reply {
 	step := sess.Step{Kind: sess.StepWrite}
-	deadline := c.server.statementDeadline(op.startedAt, op.route.Timeout)
+	deadline := c.server.drain.Load().statementDeadline(op.startedAt, op.route.Timeout)
 	waitUntil := op.startedAt.Add(op.maxWait())
 	var reply model.Reply
 	var to target
