--- a/coord/compare.go
+++ b/coord/compare.go
@@ -37,11 +37,10 @@
 			return target, nil
 		}
 		r.pause(now)
-		if r.leasesEnded(now) && now.Sub(r.comparedAt) >= retryInterval && r.recheckPause() {
+		if r.mayCompare(now) {
 			if handedOver {
 				return target, nil
 			}
-			r.comparedAt = now
 			if chosen, ok := r.compare(now); ok {
 				return chosen, nil
 			}
@@ -92,8 +91,15 @@
 	return false
 }
 
+// mayCompare reports whether the leases on the old primary have ended and the replicas can be compared. A comparison without a result is
+// repeated after retryInterval.
+func (r *replacement) mayCompare(now time.Time) bool {
+	return now.Sub(r.comparedAt) >= retryInterval && r.leasesEnded(now) && r.recheckPause()
+}
+
 // compare returns a replica that has every acknowledged commit, and whether there certainly is one.
 func (r *replacement) compare(now time.Time) (model.Instance, bool) {
+	r.comparedAt = now
 	evidence := elect.Evidence{
 		Replicas: r.replicas, AllReleased: r.allReleased() && !r.s.config.Cache.VMRemovedRecently(now),
 		Recorded: r.record.Replicas,
--- a/elect/cause.go
+++ b/elect/cause.go
@@ -77,9 +77,7 @@
 		return CauseNone
 	case s.Leaving:
 		return CausePlanned
-	case s.Failures >= suspectFailures && !s.FailingSince.IsZero() && now.Sub(s.FailingSince) >= suspectAfter:
-		return CauseSuspected
-	case !s.StuckSince.IsZero() && now.Sub(s.StuckSince) >= stuckAfter:
+	case s.suspected(now):
 		return CauseSuspected
 	case s.ReplicasOutdated:
 		return CauseReplicas
@@ -88,6 +86,13 @@
 	}
 }
 
+// suspected reports whether the primary does not answer this VM, or does not answer its commits.
+func (s PrimaryState) suspected(now time.Time) bool {
+	failing := s.Failures >= suspectFailures && !s.FailingSince.IsZero() && now.Sub(s.FailingSince) >= suspectAfter
+	stuck := !s.StuckSince.IsZero() && now.Sub(s.StuckSince) >= stuckAfter
+	return failing || stuck
+}
+
 // Opinion is what a VM, which may be this one, has observed of a primary when it is asked.
 type Opinion struct {
 	VM model.VMID
