--- a/soak/seeds_test.go
+++ b/soak/seeds_test.go
@@ -18,12 +18,23 @@
 func TestSeedsThatFailedBreakNoInvariant(t *testing.T) {
 	program := buildDaemon(t)
 	for seed, cause := range seedsThatFailed {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			report, err := Run(t.Context(), Config{
-				Program: program, Dir: t.TempDir(), Seed: seed, VMs: 6, Groups: 2, Sessions: 24, For: 15 * time.Second, Log: log.New(io.Discard),
-			})
-			require.NoError(t, err)
-			require.Empty(t, report.Violations, "it failed before because %s; faults %q", cause, report.Faults)
-		})
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { requireKept(t, program, seed, cause) })
 	}
 }
+
+// TestRestartsInSeriesKeepTheRateOfATeam guards against operations over a team's rate while VMs start again one after the other and some of them
+// are cut off from the others.
+func TestRestartsInSeriesKeepTheRateOfATeam(t *testing.T) {
+	const seed = 442
+	requireKept(t, buildDaemon(t), seed, "a team had more operations than its rate allows")
+}
+
+// requireKept runs a seed that failed once and requires that it violates nothing.
+func requireKept(t *testing.T, program string, seed uint64, cause string) {
+	t.Helper()
+	report, err := Run(t.Context(), Config{
+		Program: program, Dir: t.TempDir(), Seed: seed, VMs: 6, Groups: 2, Sessions: 24, For: 15 * time.Second, Log: log.New(io.Discard),
+	})
+	require.NoError(t, err)
+	require.Empty(t, report.Violations, "it failed before because %s; faults %q", cause, report.Faults)
+}
