--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -40,6 +40,14 @@
 // lapse removes the registration of an instance, which goes on running.
 func (s *site) lapse(name model.InstanceName) { s.rows.Delete(platform.TableInstances, string(name)) }
 
+// crash ends instances, which keep their logs, and removes their registrations.
+func (s *site) crash(names ...model.InstanceName) {
+	for _, name := range names {
+		s.cluster.SetFaults(name, stand.DatabaseFaults{Down: true})
+		s.lapse(name)
+	}
+}
+
 // TestStartAroundAnOutageOfTheStoreKeepsTheHealthyPrimary guards against lost commits after an outage in which registrations expired:
 // processes that started meanwhile took the instances that had not registered again yet for gone, and promoted the one replica that was
 // registered, which lacked commits.
@@ -72,10 +80,7 @@
 	s := newSite(t, 3)
 	s.cluster.SetFaults("i-3", stand.DatabaseFaults{NoReplication: true})
 	s.commit(t, 20)
-	for _, name := range []model.InstanceName{"i-1", "i-2"} {
-		s.cluster.SetFaults(name, stand.DatabaseFaults{Down: true})
-		s.lapse(name)
-	}
+	s.crash("i-1", "i-2")
 	time.Sleep(registrationsGone)
 	s.restartAll()
 	time.Sleep(watched)
--- a/node/returned_test.go
+++ b/node/returned_test.go
@@ -40,10 +40,7 @@
 	const begun, soon, watched = 5 * time.Second, 2500 * time.Millisecond, 4 * time.Second
 	s := newSite(t, 3)
 	s.commit(t, 5)
-	for _, name := range []model.InstanceName{"i-1", "i-2"} {
-		s.cluster.SetFaults(name, stand.DatabaseFaults{Down: true})
-		s.lapse(name)
-	}
+	s.crash("i-1", "i-2")
 	s.restartAll() // The new processes don't know the primary.
 	time.Sleep(begun)
 	s.cluster.SetFaults("i-1", stand.DatabaseFaults{})
@@ -59,10 +56,7 @@
 	s := newSite(t, 3)
 	s.cluster.SetFaults("i-3", stand.DatabaseFaults{NoReplication: true})
 	s.commit(t, 5)
-	for _, name := range []model.InstanceName{"i-1", "i-2"} {
-		s.cluster.SetFaults(name, stand.DatabaseFaults{Down: true})
-		s.lapse(name)
-	}
+	s.crash("i-1", "i-2")
 	time.Sleep(begun)
 	deadline := time.Now().Add(2 * watched)
 	conn, err := s.cluster.Dial(deadline, s.cluster.Instance("i-3"), model.ProxyTeam)
