Tests of the node share the stop of a node and what they require of it

The older stop test started the shutdown with its own copy of stopNode; two checks that a node has not ended yet, and three that the primary was kept without a lost commit, stood more than once. No assertion or bound changes; only test files, so the daemon is the same.

--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -48,6 +48,14 @@
 	}
 }
 
+// requireKept requires that an instance is the primary and that no acknowledged commit was lost.
+func (s *site) requireKept(t *testing.T, name model.InstanceName) {
+	t.Helper()
+	primary, _ := s.cluster.Primary()
+	require.Equal(t, name, primary)
+	require.Empty(t, s.cluster.LostCommits())
+}
+
 // TestStartAroundAnOutageOfTheStoreKeepsTheHealthyPrimary guards against lost commits after an outage in which registrations expired:
 // processes that started meanwhile took the instances that had not registered again yet for gone, and promoted the one replica that was
 // registered, which lacked commits.
@@ -67,9 +75,7 @@
 		s.announce(s.cluster.Instance("i-2"), "ready")
 	})
 	time.Sleep(watched)
-	primary, _ := s.cluster.Primary()
-	require.Equal(t, model.InstanceName("i-1"), primary)
-	require.Empty(t, s.cluster.LostCommits())
+	s.requireKept(t, "i-1")
 	require.True(t, s.serves(0))
 }
 
@@ -84,9 +90,7 @@
 	time.Sleep(registrationsGone)
 	s.restartAll()
 	time.Sleep(watched)
-	primary, _ := s.cluster.Primary()
-	require.Equal(t, model.InstanceName("i-1"), primary)
-	require.Empty(t, s.cluster.LostCommits())
+	s.requireKept(t, "i-1")
 	s.cluster.SetFaults("i-3", stand.DatabaseFaults{})
 	s.cluster.SetFaults("i-1", stand.DatabaseFaults{})
 	s.announce(s.cluster.Instance("i-1"), "ready")
@@ -103,9 +107,7 @@
 	s.cluster.SetFaults("i-1", stand.DatabaseFaults{Unresponsive: true})
 	s.announce(s.cluster.Restart("i-2", time.Now()), "ready")
 	time.Sleep(watched)
-	primary, _ := s.cluster.Primary()
-	require.Equal(t, model.InstanceName("i-1"), primary)
-	require.Empty(t, s.cluster.LostCommits())
+	s.requireKept(t, "i-1")
 	s.cluster.SetFaults("i-1", stand.DatabaseFaults{})
 	s.cluster.SetFaults("i-3", stand.DatabaseFaults{})
 	require.Eventually(t, func() bool { return s.serves(0) }, 8*time.Second, 20*time.Millisecond, "the primary answers again")
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -25,13 +25,7 @@
 	c.must(t, "WRITE item a")
 	idle, err := s.dial(0, "revise", "key-1")
 	require.NoError(t, err)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	stopped := make(chan struct{})
-	go func() {
-		s.nodes[0].shutdown(t.Context(), listener)
-		close(stopped)
-	}()
+	stopped := s.stopNode(t, 0)
 	require.Eventually(t, func() bool {
 		_, _, _, err := idle.ask("READ item")
 		return err != nil
@@ -68,6 +62,16 @@
 	return stopped
 }
 
+// requireNotEnded requires that a node which stops has not ended yet.
+func requireNotEnded(t *testing.T, stopped chan struct{}) {
+	t.Helper()
+	select {
+	case <-stopped:
+		t.Fatal("the node ended before it answered")
+	default:
+	}
+}
+
 // TestSessionsInUseEndBeforeAStoppingNode guards against writes that run and are never answered: a session whose next statement always came
 // within the timeout of the last read was used until the process ended, which cut off the statements that were at an instance.
 func TestSessionsInUseEndBeforeAStoppingNode(t *testing.T) {
@@ -112,11 +116,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	require.Contains(t, end, "ABORTED")
-	select {
-	case <-stopped:
-		t.Fatal("the node ended before it answered")
-	default:
-	}
+	requireNotEnded(t, stopped)
 	<-stopped
 	require.Zero(t, s.nodes[0].server.SessionCount())
 }
@@ -135,11 +135,7 @@
 	_, _, end, err := c.ask("WRITE item x")
 	require.NoError(t, err)
 	require.Regexp(t, "TIMEOUT|INDOUBT", end)
-	select {
-	case <-stopped:
-		t.Fatal("the node ended before it answered")
-	default:
-	}
+	requireNotEnded(t, stopped)
 }
 
 // TestSessionOpenedAtAStoppingNodeServesAnOperation guards against sessions that end before their first operation: the load balancer still sends
