--- a/soak/run.go
+++ b/soak/run.go
@@ -133,52 +133,6 @@
 	return false
 }
 
-// probeAllVMs sends a write through each VM to each group, until one fails, and reports whether all succeeded.
-func (s *site) probeAllVMs() bool {
-	for _, vm := range s.vms {
-		for g := range s.config.Groups {
-			if !s.probeWrite(vm, g) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-// probeWrite sends a write through a VM to a group and reports whether it succeeded.
-func (s *site) probeWrite(vm *process, g int) bool {
-	n := s.lastID.Add(1)
-	c := &caller{
-		site: s, name: fmt.Sprintf("probe%d", n), random: rand.New(rand.NewPCG(s.config.Seed, uint64(n))), team: teamBuilders, key: keyBuilders,
-		route: route{name: fmt.Sprintf("revise-%d", g), group: groupName(g)},
-	}
-	if c.open(vm) != nil {
-		return false
-	}
-	defer c.disconnect()
-	before := s.history.lastAckedNumber(c.item, time.Now())
-	return c.write() == nil && s.history.lastAckedNumber(c.item, time.Now()) > before
-}
-
-// revokeKey revokes the key of the crew and checks that within inEffectTimeout no VM accepts it any more.
-func (s *site) revokeKey(ctx context.Context) {
-	const newVersion = 2
-	s.putSettings(newVersion, keyBuilders, "key-crew-2")
-	refused := func() bool {
-		for _, vm := range s.vms {
-			c := &caller{site: s, name: "former", team: teamCrew, key: keyCrew, route: s.routes()[0]}
-			if c.open(vm) == nil {
-				c.disconnect()
-				return false
-			}
-		}
-		return true
-	}
-	if !s.await(ctx, inEffectTimeout, refused) {
-		s.history.addViolation("settings: a key that was withdrawn is accepted after %s", inEffectTimeout)
-	}
-}
-
 // role returns RolePrimary for the primary of the highest term in its group, and RoleReplica for any other instance.
 func (s *site) role(i model.Instance) model.Role {
 	for g, cluster := range s.clusters {
