Soak of planned work and a check for statements without an answer

Callers of the users saw requests that were read and whose connection ended without a complete answer around planned work. The soak had no such check, and its faults always mixed with unplanned ones, which excuse such an end.

--planned runs only planned work: SIGTERM in series, SIGHUP, changed settings files, new settings versions, leaving instances. The check unanswered counts a statement whose connection ends without a complete answer, if it reached an instance or the end came over 200 ms after it was sent.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -21,6 +21,11 @@
 	meanOperations = 25
 	// maxPause bounds the pause between two operations.
 	maxPause = 25 * time.Millisecond
+	// maxCalmPause and maxIdlePause bound the pauses of sessions that are less busy, in runs of planned work.
+	maxCalmPause, maxIdlePause = time.Second, 4 * time.Second
+	// maxWork bounds the time of a statement that takes long, which is one of longWorkShare.
+	maxWork       = 600 * time.Millisecond
+	longWorkShare = 30
 )
 
 type (
@@ -42,6 +47,11 @@
 		team   model.TeamName
 		key    string
 
+		// maxPause bounds the pause between two operations.
+		maxPause time.Duration
+
+		// vm is the VM of the connection.
+		vm     *process
 		conn   net.Conn
 		reader *bufio.Reader
 		route  route
@@ -76,11 +86,24 @@
 			time.Sleep(maxPause)
 			continue
 		}
-		if err := c.runOperation(); err != nil || c.random.IntN(meanOperations) == 0 {
+		if err := c.runOperation(); err != nil || c.leaves() {
 			c.disconnect()
 		}
-		time.Sleep(time.Duration(c.random.Int64N(int64(maxPause))))
+		time.Sleep(time.Duration(c.random.Int64N(int64(c.maxPause))))
+	}
+}
+
+// leaves reports whether the caller ends its session after an operation. In runs of planned work callers stay until their connection ends.
+func (c *caller) leaves() bool {
+	return !c.site.config.PlannedOnly && c.random.IntN(meanOperations) == 0
+}
+
+// drawWork returns how long an instance takes for the next statement beyond the usual; only runs of planned work have such statements.
+func (c *caller) drawWork() time.Duration {
+	if !c.site.config.PlannedOnly || c.random.IntN(longWorkShare) > 0 {
+		return 0
 	}
+	return time.Duration(c.random.Int64N(int64(maxWork)))
 }
 
 func (c *caller) nextItem() {
@@ -90,9 +113,12 @@
 	c.site.history.recordItem(c.route.group, c.item)
 }
 
-// dial opens a session through any VM on any route.
+// dial opens a session on any route, through any VM or, in runs of planned work, through one that is in rotation.
 func (c *caller) dial() bool {
 	vm := c.site.vms[c.random.IntN(len(c.site.vms))]
+	if c.site.balancer != nil {
+		vm = c.site.balancer.choose(c.random)
+	}
 	c.route = c.site.routes()[c.random.IntN(len(c.site.routes()))]
 	return c.open(vm) == nil
 }
@@ -103,6 +129,7 @@
 		return err
 	}
 	c.nextItem()
+	c.vm = vm
 	c.conn, c.reader, c.values, c.lastAcked = conn, bufio.NewReader(conn), map[string]string{}, map[string]int{}
 	if err := conn.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
 		return err
--- a/soak/config.go
+++ b/soak/config.go
@@ -8,6 +8,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// defaultGrace is the time between SIGTERM and SIGKILL if the configuration names none.
+const defaultGrace = 3 * time.Second
+
 // Config describes a run.
 type Config struct {
 	// Program is the path of the daemon. Dir is the directory of the settings and logs of the processes.
@@ -18,7 +21,12 @@
 	VMs, Groups, Sessions int
 	// For is how long faults are injected.
 	For time.Duration
-	Log *log.Logger
+	// PlannedOnly replaces the faults by planned work: restarts, Together VMs at a time, and changes of settings.
+	PlannedOnly bool
+	Together    int
+	// Grace is the time between SIGTERM and SIGKILL; 0 takes defaultGrace.
+	Grace time.Duration
+	Log   *log.Logger
 }
 
 // Check returns an error that lists all problems of the configuration, or nil.
@@ -32,8 +40,19 @@
 	if c.For <= 0 {
 		findings = append(findings, errors.Newf("For: %s leaves no time for faults", c.For))
 	}
+	if c.PlannedOnly && (c.Together < 1 || c.Together > c.VMs) {
+		findings = append(findings, errors.Newf("Together: %d of %d VMs cannot restart at a time", c.Together, c.VMs))
+	}
 	if _, err := os.Stat(c.Program); err != nil {
 		findings = append(findings, errors.Wrap(err, "Program: build the daemon first"))
 	}
 	return errors.Join(findings...)
 }
+
+// grace returns the time between SIGTERM and SIGKILL.
+func (c Config) grace() time.Duration {
+	if c.Grace == 0 {
+		return defaultGrace
+	}
+	return c.Grace
+}
--- a/soak/config_test.go
+++ b/soak/config_test.go
@@ -14,6 +14,7 @@
 		require.ErrorContains(t, err, name)
 	}
 	require.NotContains(t, err.Error(), "Sessions")
+	require.ErrorContains(t, Config{VMs: 1, PlannedOnly: true, Together: 2}.Check(), "Together")
 	_, err = Run(t.Context(), Config{})
 	require.Error(t, err, "Run must check its configuration")
 	require.NoError(t, Config{Program: "config_test.go", VMs: 1, Groups: 1, Sessions: 1, For: time.Second, Log: log.Default()}.Check())
--- a/soak/conn.go
+++ b/soak/conn.go
@@ -24,13 +24,27 @@
 	for _, q := range queries {
 		c.check(q)
 	}
+	c.work(queries)
 	replies, err := c.InstanceConn.Exchange(deadline, queries...)
+	for _, q := range queries {
+		c.history.recordPassage(q.ID, func(p *passage) {
+			p.finishedAt = time.Now()
+			p.brokeOff = p.brokeOff || err != nil
+		})
+	}
 	if err == nil && len(replies) > 0 && replies[len(replies)-1].State == model.TxNone {
 		c.operation = ""
 	}
 	return replies, err
 }
 
+// work takes the time of statements that take long.
+func (c *checkedConn) work(queries []model.Query) {
+	for _, q := range queries {
+		time.Sleep(c.history.workTime(q.ID))
+	}
+}
+
 func (c *checkedConn) check(q model.Query) {
 	words := strings.SplitN(q.Text, " ", 3)
 	switch {
@@ -47,6 +61,11 @@
 	if !known {
 		return
 	}
+	c.history.recordPassage(q.ID, func(p *passage) {
+		if p.arrivedAt.IsZero() {
+			p.arrivedAt = time.Now()
+		}
+	})
 	if c.operation == "" && words[0] != "ROLLBACK" {
 		c.history.recordOperation(c.team)
 	}
--- a/soak/history.go
+++ b/soak/history.go
@@ -28,6 +28,9 @@
 		operation string
 		text      string
 		values    map[string]string
+		// work is the time that an instance takes beyond the usual.
+		work    time.Duration
+		passage passage
 	}
 
 	// writtenValue is a value that a caller wrote to an item; at is when the outcome was recorded.
@@ -54,6 +57,8 @@
 		outcomes map[outcome]int
 		// acked holds the statements whose commit was acknowledged to the caller.
 		acked map[model.RequestID]bool
+		// unanswered holds the statements whose connection ended without a complete answer.
+		unanswered []unanswered
 	}
 )
 
@@ -92,6 +97,13 @@
 	h.sent[id] = a
 }
 
+// workTime returns the time that an instance takes for a statement beyond the usual.
+func (h *history) workTime(id model.RequestID) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sent[id].work
+}
+
 // recordItem records that a caller is about to write to an item of a group.
 func (h *history) recordItem(group model.GroupName, item string) {
 	h.mu.Lock()
--- a/soak/process.go
+++ b/soak/process.go
@@ -31,6 +31,8 @@
 	endExpected, stopped bool
 	// notBefore is the earliest time of the next start.
 	notBefore time.Time
+	// stoppedAt is when the process, or its predecessor, last got SIGTERM.
+	stoppedAt time.Time
 	done      sync.WaitGroup
 	// failures holds the ends that the soak did not cause, and failed starts.
 	failures []string
@@ -98,9 +100,52 @@
 	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
 		p.endExpected, p.notBefore = true, time.Now().Add(downtime)
 	}
+	if signal == syscall.SIGTERM {
+		p.stoppedAt = time.Now()
+	}
 	_ = p.command.Process.Signal(signal) // It may have ended just now.
 }
 
+// restart sends SIGTERM to the process, unless it is ending already, and SIGKILL once the grace period is over.
+func (p *process) restart() {
+	p.mu.Lock()
+	command, ending := p.command, p.endExpected
+	p.mu.Unlock()
+	if command == nil || ending {
+		return
+	}
+	p.signal(syscall.SIGTERM, 0)
+	time.AfterFunc(p.settings.Grace, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.command == command && !p.stopped {
+			p.failures = append(p.failures, string(p.settings.VM)+" ran for all of its grace period")
+			_ = command.Process.Kill() // It may have ended just now.
+		}
+	})
+}
+
+// lastStop returns when the process, or its predecessor, last got SIGTERM; zero if never.
+func (p *process) lastStop() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stoppedAt
+}
+
+// changeFile replaces the settings file by one with changes to the settings that the process first had.
+func (p *process) changeFile(change func(*platform.Settings)) error {
+	changed := p.settings
+	change(&changed)
+	body, err := platform.EncodeSettings(changed)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(p.settingsPath+".new", body, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(p.settingsPath+".new", p.settingsPath)
+}
+
 // stop kills the process, waits for its end and does not start it again.
 func (p *process) stop() {
 	p.mu.Lock()
--- a/soak/query.go
+++ b/soak/query.go
@@ -31,7 +31,7 @@
 // queryWithID records and sends a statement and reads its answer.
 func (c *caller) queryWithID(id model.RequestID, text string) (answer, error) {
 	c.site.history.recordSent(id, sentStatement{
-		team: c.team, operation: fmt.Sprintf("%s.%d", c.name, c.operations), text: text, values: c.values,
+		team: c.team, operation: fmt.Sprintf("%s.%d", c.name, c.operations), text: text, values: c.values, work: c.drawWork(),
 	})
 	if err := c.conn.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
 		return answer{}, err
@@ -39,10 +39,12 @@
 	if _, err := io.WriteString(c.conn, "QUERY "+string(id)+" "+text+"\r\n"); err != nil {
 		return answer{}, err
 	}
+	c.site.history.recordPassage(id, func(p *passage) { p.sentAt = time.Now() })
 	var a answer
 	for ended := false; ; {
 		line, err := c.reader.ReadString('\n')
 		if err != nil {
+			c.recordUnanswered(id)
 			return a, errors.CombineErrors(errNoAnswer, err)
 		}
 		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
@@ -62,3 +64,12 @@
 		}
 	}
 }
+
+// recordUnanswered records that the connection ended before the answer to a statement, in a run where no fault excuses it.
+func (c *caller) recordUnanswered(id model.RequestID) {
+	if c.site.config.PlannedOnly {
+		c.site.history.recordUnanswered(unanswered{
+			id: id, vm: c.vm.settings.VM, endedAt: time.Now(), stoppedAt: c.vm.lastStop(), grace: c.site.config.grace(),
+		})
+	}
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -36,6 +36,8 @@
 	Violations []string
 	// Acknowledged, Refused and Unknown count the writes by the outcome that their callers were answered.
 	Acknowledged, Refused, Unknown int
+	// Unanswered counts the violations of the check of answers, also those beyond maxViolations.
+	Unanswered int
 }
 
 // Run runs one seed: it starts the VMs, runs callers and injects faults, awaits the recovery, and checks the invariants. An error means
@@ -52,13 +54,15 @@
 	if !s.await(ctx, startTimeout, s.probeAllVMs) {
 		s.history.addViolation("recovery: not all VMs serve %s after their start", startTimeout)
 	}
+	if config.PlannedOnly {
+		s.balancer = newBalancer(s.ctx, s.vms)
+	}
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	for n := range config.Sessions {
 		callers.Go(func() { s.newCaller(n).run(stop) })
 	}
-	inject := &injector{site: s, random: rand.New(rand.NewPCG(config.Seed, 1))}
-	faults := inject.plan(config.For)
+	faults := s.plan()
 	s.playFaults(ctx, faults)
 	s.endFaults()
 	if !s.await(ctx, recoveryTimeout, s.probeAllVMs) {
@@ -72,11 +76,24 @@
 	return s.report(faults), ctx.Err()
 }
 
+// plan draws the faults or the planned work of the run.
+func (s *site) plan() []fault {
+	random := rand.New(rand.NewPCG(s.config.Seed, 1))
+	if s.config.PlannedOnly {
+		return (&planner{site: s, random: random}).plan(s.config.For)
+	}
+	return (&injector{site: s, random: random}).plan(s.config.For)
+}
+
 func (s *site) newCaller(n int) *caller {
 	c := &caller{
 		site: s, name: fmt.Sprintf("s%d", n), random: rand.New(rand.NewPCG(s.config.Seed, uint64(n)+100)), team: teamBuilders, key: keyBuilders,
+		maxPause: maxPause,
 	}
-	if n%4 == 3 {
+	switch {
+	case s.config.PlannedOnly:
+		c.maxPause = []time.Duration{maxPause, maxPause, maxCalmPause, maxIdlePause}[n%4]
+	case n%4 == 3:
 		c.team, c.key = teamCrew, keyCrew
 	}
 	return c
@@ -166,6 +183,7 @@
 		}
 	}
 	s.history.checkRates(teamCrew, crewRate, crewRate)
+	s.unanswered = s.history.checkAnswers()
 }
 
 // checkPromotions checks that no promotion removed a commit that was acknowledged to its caller. An instance may acknowledge a commit to a
@@ -218,7 +236,7 @@
 	defer s.history.mu.Unlock()
 	r := Report{
 		Violations: s.history.violations, Acknowledged: s.history.outcomes[outcomeAcked], Refused: s.history.outcomes[outcomeRefused],
-		Unknown: s.history.outcomes[outcomeUnknown],
+		Unknown: s.history.outcomes[outcomeUnknown], Unanswered: s.unanswered,
 	}
 	for _, f := range faults {
 		r.Faults = append(r.Faults, fmt.Sprintf("%6.2f s to %6.2f s  %s", f.at.Seconds(), (f.at+f.length).Seconds(), f.name))
--- a/soak/settings.go
+++ b/soak/settings.go
@@ -42,19 +42,30 @@
 	return all
 }
 
-// putSettings writes the settings of all teams, routes and groups to the store, as an operator would.
-func (s *site) putSettings(version int64, builders, crew string) {
+// routeLimits are the settings of routes that planned work changes.
+type routeLimits struct {
+	timeout, txIdle time.Duration
+	// extraRoutes is the number of routes that no caller uses.
+	extraRoutes int
+}
+
+// putSettings writes the next version of the settings of all teams, routes and groups to the store, as an operator would.
+func (s *site) putSettings(limits routeLimits, builders, crew string) {
 	p := &policy.Policy{
-		Version: version, TxIdleTimeout: txIdle, Routes: map[string]policy.Route{}, Groups: map[model.GroupName]policy.Group{},
+		Version: s.settingsVersion.Add(1), TxIdleTimeout: limits.txIdle, Routes: map[string]policy.Route{}, Groups: map[model.GroupName]policy.Group{},
 		Keys: map[string]model.TeamName{builders: teamBuilders, crew: teamCrew},
 		Teams: map[model.TeamName]policy.Team{
 			teamBuilders: {Name: teamBuilders, Rate: buildersRate, Burst: buildersRate}, teamCrew: {Name: teamCrew, Rate: crewRate, Burst: crewRate},
 		},
 	}
 	for _, r := range s.routes() {
-		p.Routes[r.name] = r.policyRoute()
+		p.Routes[r.name] = r.policyRoute(limits.timeout)
 		p.Groups[r.group] = policy.Group{Name: r.group, MaxConnections: maxConnections, Replicated: true}
 	}
+	for n := range limits.extraRoutes {
+		extra := route{name: fmt.Sprintf("spare-%d", n), group: groupName(n % s.config.Groups)}
+		p.Routes[extra.name] = extra.policyRoute(limits.timeout)
+	}
 	body, err := platform.EncodePolicy(p)
 	if err != nil {
 		s.history.addViolation("settings: %v", err)
@@ -64,10 +75,10 @@
 }
 
 // policyRoute returns the settings of the route.
-func (r route) policyRoute() policy.Route {
+func (r route) policyRoute(timeout time.Duration) policy.Route {
 	p := policy.Route{
 		Name: model.RouteName("r-" + r.name), Database: r.name, Group: r.group, Consistency: policy.ConsistencyPrimary, MaxAge: r.maxAge,
-		Timeout: routeTimeout, TargetLatency: routeTargetLatency, Priority: 2,
+		Timeout: timeout, TargetLatency: routeTargetLatency, Priority: 2,
 	}
 	switch {
 	case r.readYourWrites:
--- a/soak/site.go
+++ b/soak/site.go
@@ -30,9 +30,8 @@
 	replicateInterval = time.Millisecond
 	// rateSlack is how many operations of a team beyond its rate and burst all VMs together may admit in a window.
 	rateSlack = 20
-	// gracePeriod is the time between SIGTERM and SIGKILL that VMs are configured with. It also bounds dialing an instance and reading a
-	// header.
-	gracePeriod    = 3 * time.Second
+	// openTimeout bounds dialing an instance and reading a header.
+	openTimeout    = 3 * time.Second
 	replicationLag = 8 * time.Millisecond
 )
 
@@ -53,6 +52,12 @@
 	listeners       []net.Listener
 	// lastID is the last number that was given to a statement or to a caller that probes a VM.
 	lastID atomic.Int64
+	// settingsVersion is the newest version of the settings in the store.
+	settingsVersion atomic.Int64
+	// balancer chooses the VMs of callers in runs of planned work; nil in others.
+	balancer *balancer
+	// unanswered is the number of violations that the check of answers found.
+	unanswered int
 	// ctx ends when the site is closed.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -72,7 +77,7 @@
 			return s, err
 		}
 	}
-	s.putSettings(1, keyBuilders, keyCrew)
+	s.putSettings(routeLimits{timeout: routeTimeout, txIdle: txIdle}, keyBuilders, keyCrew)
 	for i := range config.VMs {
 		if err := s.addVM(i); err != nil {
 			return s, err
@@ -149,7 +154,7 @@
 				if hello.Group != i.Group || (hello.Instance != "" && hello.Instance != i.Name) {
 					return nil, &model.RefusedError{Fault: model.FaultMisdirected}
 				}
-				instanceConn, err := cluster.Dial(time.Now().Add(gracePeriod), i, hello.Team)
+				instanceConn, err := cluster.Dial(time.Now().Add(openTimeout), i, hello.Team)
 				if err != nil {
 					return nil, err
 				}
@@ -190,7 +195,7 @@
 	}
 	name := fmt.Sprintf("vm-%d", i)
 	rows := &domainStore{store: s.rows.Client(name), proxies: s.instanceProxies[i%domainCount]}
-	server := &http.Server{Handler: platform.NewStandInHandler(rows, s), ReadHeaderTimeout: gracePeriod}
+	server := &http.Server{Handler: platform.NewStandInHandler(rows, s), ReadHeaderTimeout: openTimeout}
 	go func() { _ = server.Serve(listener) }() // It ends when it is closed.
 	s.servers = append(s.servers, server)
 	proxy, err := NewProxy(listener.Addr().String())
@@ -202,7 +207,7 @@
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(address, port) }
 	vm, err := newProcess(s.config.Program, s.config.Dir, platform.Settings{
 		VM: model.VMID(name), Domain: domainName(i), Address: address, Callers: at(callersPort), Ready: at(readyPort), Peers: at(peersPort),
-		FirstPort: firstPort, LastPort: lastPort, Store: proxy.Address(), Promotions: proxy.Address(), Heartbeat: time.Second, Grace: gracePeriod,
+		FirstPort: firstPort, LastPort: lastPort, Store: proxy.Address(), Promotions: proxy.Address(), Heartbeat: time.Second, Grace: s.config.grace(),
 		RateSlack: rateSlack, MemoryLimit: 128 << 20,
 	})
 	if err != nil {
