A replica that may have started again unregistered does not count as the recorded one

Callers lost acknowledged commits. A replica received nothing; the primary and the other replica, on which the commits rested, crashed, and the latter answered again with an empty log before its new registration was in the store. Its former registration still matched the record, so the comparison counted as complete, and an instance without the commits was promoted, 0.3 s after the crash.

Cause: the record names replicas with their start, while an order or a status is answered without one. The start was taken from the cached registration, which is that of the former start until the instance has registered anew, or until it has been removed.

Change: a comparison of paused replicas is complete only if their starts are settled, that is, if registrations that were read 2.3 s after the pause, without a gap, still show them (state.Cache.StartsSettled). This wait is left out if every VM confirmed and every replica holds something: a replica that has just started again holds nothing. A restart between pause and comparison starts the wait anew, also if all VMs confirmed. The path by what the VMs observed is unchanged: it does not rest on starts.

Ruled out: a veto by the highest position that VMs observed. It includes commits of the primary that no replica received and nobody acknowledged, so a group whose primary is cut off from its replicas would not recover. Not covered: a replica that started again and had received a part of the log anew when the primary failed, within two seconds of its start.

--- a/coord/compare.go
+++ b/coord/compare.go
@@ -81,14 +81,16 @@
 }
 
 // recheckPause asks the replicas for their status and reports whether they can be compared: every VM confirmed, or all replicas are still
-// paused. A restart ends the pause of a replica. The wait for the leases then starts again.
+// paused. A restart ends the pause of a replica. The waits for the leases and for the registrations then start again.
 func (r *replacement) recheckPause() bool {
+	// The registrations that callReplicas uses have to be at least as new as those that settle the starts.
+	r.startsSettled = !r.pausedAt.IsZero() && r.s.config.Cache.StartsSettled(r.pausedAt)
 	r.replicas = elect.RecheckPaused(r.callReplicas(model.InstanceConn.Status), r.record.Next.Term)
-	if r.allReleased() || elect.AllPaused(r.replicas) {
+	if elect.AllPaused(r.replicas) {
 		return true
 	}
 	r.pausedAt, r.pauseTriedAt = time.Time{}, time.Time{}
-	return false
+	return r.allReleased()
 }
 
 // mayCompare reports whether the leases on the old primary have ended and the replicas can be compared. A comparison without a result is
@@ -102,7 +104,7 @@
 	r.comparedAt = now
 	evidence := elect.Evidence{
 		Replicas: r.replicas, AllReleased: r.allReleased() && !r.s.config.Cache.VMRemovedRecently(now),
-		Recorded: r.record.Replicas,
+		Recorded: r.record.Replicas, StartsSettled: r.startsSettled,
 	}
 	for _, release := range r.releases {
 		evidence.Releases = append(evidence.Releases, release)
@@ -115,13 +117,14 @@
 // logComparison logs a comparison, unless it is like the one before.
 func (r *replacement) logComparison(evidence elect.Evidence, chosen model.Instance, safe bool) {
 	replicas := describe(r.replicas)
-	described := fmt.Sprint(safe, replicas, len(r.releases), evidence.AllReleased)
+	described := fmt.Sprint(safe, replicas, len(r.releases), evidence.AllReleased, evidence.StartsSettled)
 	if described == r.lastComparison {
 		return
 	}
 	r.lastComparison = described
 	r.s.config.Log.Info("replicas compared", "group", r.group, "chosen", chosen.Name, "safe", safe, "replicas", replicas,
-		"recorded", names(r.record.Replicas), "released", len(r.releases), "all-released", evidence.AllReleased)
+		"recorded", names(r.record.Replicas), "released", len(r.releases), "all-released", evidence.AllReleased,
+		"starts-settled", evidence.StartsSettled)
 }
 
 // errSuperseded ends a run whose record was changed by another VM.
--- a/coord/replace.go
+++ b/coord/replace.go
@@ -56,7 +56,9 @@
 	// announcedAt is when the intent was known to be in the store, and pausedAt when all replicas were known to be paused, or zero.
 	announcedAt time.Time
 	pausedAt    time.Time
-	releases    map[model.VMID]elect.Release
+	// startsSettled reports that the replicas that are still paused are registered with their present start.
+	startsSettled bool
+	releases      map[model.VMID]elect.Release
 	// answered reports whether the old primary answered when its replacement was announced.
 	answered bool
 	// replicas are the replicas as last observed, and pauseTriedAt is when the last attempt to pause them began.
--- a/elect/choose.go
+++ b/elect/choose.go
@@ -1,6 +1,10 @@
 package elect
 
-import "github.com/crocusshore/crocusshore/model"
+import (
+	"slices"
+
+	"github.com/crocusshore/crocusshore/model"
+)
 
 type (
 	// Replica is a replica of a group as observed by the VM that holds the coordinator lease.
@@ -31,21 +35,26 @@
 		AllReleased bool
 		// Recorded are the recorded replicas, any of which may be the only one that had received an acknowledged commit; nil if unknown.
 		Recorded []model.Incarnation
+		// StartsSettled reports that every replica was registered with its present start when it was paused. Otherwise it may have started again,
+		// with an empty log, while the store still has the registration of its former start.
+		StartsSettled bool
 	}
 )
 
 // Choose returns the replica that takes over, or false if an acknowledged commit could be lost.
 //
 // A commit is acknowledged once one replica received it. So if all replicas were paused before they were compared, and all recorded ones are
-// among them, the one with the furthest log has every acknowledged commit. Otherwise every VM must have confirmed and
-// know what was acknowledged on it, at least one must have observed an acknowledged position, and the furthest log must reach the highest
-// such position.
+// among them, the one with the furthest log has every acknowledged commit. That they are the recorded ones has to be settled if one holds nothing,
+// since it may just have started again, and also if the leases of VMs had to run out, since that takes no less time. Otherwise every VM must
+// have confirmed and know what was acknowledged on it, at least one must have observed an acknowledged position, and the furthest log must reach
+// the highest such position.
 func Choose(e Evidence) (Replica, bool) {
 	best, found := furthest(e.Replicas)
 	if !found {
 		return Replica{}, false
 	}
-	if AllPaused(e.Replicas) && CompareReplicas(e.Recorded, instances(e.Replicas)).Complete() {
+	startsKnown := e.StartsSettled || (e.AllReleased && !anyEmpty(e.Replicas))
+	if startsKnown && AllPaused(e.Replicas) && CompareReplicas(e.Recorded, instances(e.Replicas)).Complete() {
 		return best, true
 	}
 	acked, complete := highestAcked(e.Releases)
@@ -88,6 +97,11 @@
 	return true
 }
 
+// anyEmpty reports whether a replica holds nothing, as one does that has just started again.
+func anyEmpty(replicas []Replica) bool {
+	return slices.ContainsFunc(replicas, func(r Replica) bool { return r.Paused && r.Received.Position == 0 })
+}
+
 // highestAcked returns the highest position that a VM observed to be acknowledged, and whether all of them know what was acknowledged there.
 func highestAcked(releases []Release) (acked model.Mark, complete bool) {
 	complete = true
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -148,6 +148,7 @@
 		{"none is there", Evidence{Recorded: recorded()}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			c.evidence.StartsSettled = true
 			chosen, ok := Choose(c.evidence)
 			require.Equal(t, c.want != "", ok)
 			require.Equal(t, model.InstanceName(c.want), chosen.Instance.Name)
--- a/elect/naive_test.go
+++ b/elect/naive_test.go
@@ -31,6 +31,8 @@
 		unreachable   bool
 		// gone is set once the replica has left, with its log.
 		gone bool
+		// startedAgain is set if the replica started again, with an empty log, after the primary had failed.
+		startedAgain bool
 	}
 )
 
@@ -39,6 +41,11 @@
 	for range 40 {
 		g.step()
 	}
+	for i := range g.replicas {
+		if g.random.IntN(8) == 0 {
+			g.replicas[i].received, g.replicas[i].startedAgain = 0, true
+		}
+	}
 	return g
 }
 
@@ -83,12 +90,16 @@
 
 // evidence returns what the holder of the coordinator lease finds after the primary failed and all leases on it expired.
 func (g *group) evidence() Evidence {
-	e := Evidence{AllReleased: true}
+	e := Evidence{AllReleased: true, StartsSettled: g.random.IntN(2) == 0}
 	for i, r := range g.replicas {
 		e.Recorded = append(e.Recorded, recorded(fmt.Sprint(i))...)
 		if r.gone {
 			continue
 		}
+		if e.StartsSettled && r.startedAgain {
+			e.Replicas = append(e.Replicas, restarted(fmt.Sprint(i), 0))
+			continue
+		}
 		e.Replicas = append(e.Replicas, replica(fmt.Sprint(i), !r.unreachable, r.received))
 	}
 	for vm, position := range g.observed {
--- a/state/absence.go
+++ b/state/absence.go
@@ -33,6 +33,18 @@
 	return c.absenceWait(now, time.Time{}) <= 0
 }
 
+// StartsSettled reports whether the snapshot has the present start of every instance that answered at an instant and that has not started
+// again since. Otherwise its registration may still be that of its former start.
+func (c *Cache) StartsSettled(answeredAt time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since := c.instancesReadSince
+	if answeredAt.After(since) {
+		since = answeredAt
+	}
+	return c.instancesCurrentAt.Sub(since) >= registrationGracePeriod
+}
+
 // AbsenceWait returns how much longer an instance whose registration is gone stays in use; it is 0 for any other instance.
 func (c *Cache) AbsenceWait(now time.Time, name model.InstanceName) time.Duration {
 	c.mu.Lock()
--- a/state/absence_test.go
+++ b/state/absence_test.go
@@ -65,3 +65,23 @@
 	require.True(t, cache.AbsentReplicasGone(at(2*window+3000), "g"))
 	require.False(t, cache.AbsentReplicasGone(at(2*window+6000), "g"), "the store was not read for three seconds")
 }
+
+// TestStartsSettleAfterAnAnswerAndAfterAnOutage guards against lost commits after a replica answered that had started again and was not registered
+// anew yet, or could not be since the store was unavailable.
+func TestStartsSettleAfterAnAnswerAndAfterAnOutage(t *testing.T) {
+	c := New(Config{VM: "vm-1", Boot: "b"})
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	read := func(ms int) { c.ApplyInstances(1, true, nil, nil, at(ms)) }
+	read(0)
+	read(1500)
+	read(3000)
+	require.True(t, c.StartsSettled(at(600)))
+	require.False(t, c.StartsSettled(at(800)))
+	read(6000)
+	require.False(t, c.StartsSettled(at(600)), "the store may have been unavailable")
+	read(7900)
+	require.False(t, c.StartsSettled(at(600)))
+	read(8300)
+	require.True(t, c.StartsSettled(at(600)))
+}
