--- a/sock/idle.go
+++ b/sock/idle.go
@@ -8,11 +8,21 @@
 
 // Idle reports whether a connected socket is open and has nothing to read, not even the end of the stream.
 func Idle(raw syscall.RawConn) bool {
-	idle := false
+	return errors.Is(peek(raw), syscall.EAGAIN)
+}
+
+// Readable reports whether a connected socket is open and has something to read, or the end of the stream.
+func Readable(raw syscall.RawConn) bool { return peek(raw) == nil }
+
+// peek looks at the next byte without waiting for it; the error is EAGAIN if there is none.
+func peek(raw syscall.RawConn) error {
+	var result error
 	err := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = errors.Is(err, syscall.EAGAIN)
+		_, _, result = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && idle
+	if err != nil {
+		return err
+	}
+	return result
 }
