A stopping node ends only when no connection waits to be opened

What callers see: a connection to a process that stops is reset right after it was made, with its first message sent.

Cause: the process counted a session only once its goroutine ran, and did not look at connections that had not been accepted yet.

Fix: a session is counted by the goroutine that accepts it (serve Open); the node does not close its listener while a connection waits there (sock.ConnectionWaits), up to the end of statements, and does not end before the loop that accepts has ended.

Test: TestConnectionThatWaitsIsServedByAStoppingNode; without the look at the listener it fails with "connection reset by peer".

--- a/node/node.go
+++ b/node/node.go
@@ -150,8 +150,14 @@
 	go n.server.RefreshSamples(ctx)
 	go n.monitorReachability(ctx)
 	go n.newSupervisor().Run(ctx)
-	go n.acceptEach(callers, func(conn net.Conn) { n.server.Serve(platform.NewCallerConn(conn)) })
-	return n.wait(ctx, callers)
+	in := newEntrance(callers, n.config.Log)
+	go in.acceptEach(n.openSession)
+	return n.wait(ctx, in)
+}
+
+// openSession counts a caller's session and returns what serves it.
+func (n *Node) openSession(conn net.Conn) (serve func()) {
+	return n.server.Open(platform.NewCallerConn(conn))
 }
 
 func (n *Node) newRelay() *peers.Relay {
@@ -169,7 +175,7 @@
 }
 
 // wait handles signals and changes of the settings file until the process has to end.
-func (n *Node) wait(ctx context.Context, callers net.Listener) error {
+func (n *Node) wait(ctx context.Context, callers *entrance) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsPollInterval)
@@ -192,7 +198,7 @@
 }
 
 // shutdown shuts the daemon down: it takes the VM out of rotation and ends its sessions, those in a transaction last.
-func (n *Node) shutdown(ctx context.Context, callers net.Listener) {
+func (n *Node) shutdown(ctx context.Context, callers *entrance) {
 	now := clock.Now()
 	grace := n.settings.Load().Grace
 	n.config.Log.Info("daemon stopping", "grace", grace, "sessions", n.server.SessionCount())
@@ -201,11 +207,9 @@
 	exitAt := now.Add(grace - exitMargin)
 	plan := serve.DrainPlan{TransactionsUntil: now.Add(grace / 2), StatementsUntil: exitAt.Add(-answerMargin)}
 	go n.server.Drain(ctx, plan)
-	awaitUntil(plan.StatementsUntil, func() bool { return n.idle() && clock.Now().Sub(now) >= balancerLag })
-	if err := callers.Close(); err != nil {
-		n.config.Log.Warn("cannot close listener for callers", "error", err)
-	}
-	awaitUntil(exitAt, n.idle)
+	awaitUntil(plan.StatementsUntil, func() bool { return clock.Now().Sub(now) >= balancerLag && !callers.connectionWaits() && n.idle() })
+	callers.close()
+	awaitUntil(exitAt, func() bool { return callers.hasEnded() && n.idle() })
 	n.registrar.Remove(ctx)
 	n.config.Log.Info("daemon stopped", "sessions", n.server.SessionCount(), "after", clock.Now().Sub(now).Round(time.Millisecond))
 }
--- a/node/owners.go
+++ b/node/owners.go
@@ -35,22 +35,6 @@
 	if err != nil {
 		return errors.WithHint(err, "is another process using the first port of the range?")
 	}
-	go n.acceptEach(listener, n.remoteServer.Serve)
+	go newEntrance(listener, n.config.Log).acceptEach(func(conn net.Conn) func() { return func() { n.remoteServer.Serve(conn) } })
 	return nil
 }
-
-// acceptEach accepts connections and serves each in its own goroutine, until the listener is closed.
-func (n *Node) acceptEach(listener net.Listener, serve func(net.Conn)) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			n.config.Log.Warn("cannot accept connection", "address", listener.Addr(), "error", err)
-			time.Sleep(drainPollInterval)
-			continue
-		}
-		go serve(conn)
-	}
-}
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -51,12 +51,26 @@
 
 // stopNode begins to stop a node as SIGTERM does; the channel is closed once its process would end.
 func (s *site) stopNode(t *testing.T, node int) (stopped chan struct{}) {
+	t.Helper()
+	in := s.newEntrance(t, node)
+	go in.acceptEach(s.nodes[node].openSession)
+	return s.stopNodeWith(t, node, in)
+}
+
+// newEntrance returns an entrance at an address of its own that accepts nothing yet.
+func (s *site) newEntrance(t *testing.T, node int) *entrance {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return newEntrance(listener, s.nodes[node].config.Log)
+}
+
+// stopNodeWith begins to stop a node that closes the given entrance.
+func (s *site) stopNodeWith(t *testing.T, node int, in *entrance) (stopped chan struct{}) {
+	t.Helper()
 	stopped = make(chan struct{})
 	go func() {
-		s.nodes[node].shutdown(t.Context(), listener)
+		s.nodes[node].shutdown(t.Context(), in)
 		close(stopped)
 	}()
 	return stopped
@@ -153,3 +167,28 @@
 	require.ErrorIs(t, err, io.EOF, "the session ends right after the answer")
 	<-stopped
 }
+
+// TestConnectionThatWaitsIsServedByAStoppingNode guards against connections that a stopping node resets because it ends while they wait to be
+// accepted, or before their session is counted.
+func TestConnectionThatWaitsIsServedByAStoppingNode(t *testing.T) {
+	s := newSite(t, 2)
+	in := s.newEntrance(t, 0)
+	stopping := *s.nodes[0].settings.Load()
+	stopping.Grace = 6 * time.Second
+	s.nodes[0].settings.Store(&stopping)
+	stopped := s.stopNodeWith(t, 0, in)
+	c, err := net.Dial("tcp", in.listener.Addr().String())
+	require.NoError(t, err)
+	_, err = c.Write([]byte("START revise key-1\r\n"))
+	require.NoError(t, err)
+	time.Sleep(balancerLag + 500*time.Millisecond)
+	requireNotEnded(t, stopped)
+	go in.acceptEach(s.nodes[0].openSession)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
+	answer := make([]byte, len("READY"))
+	_, err = io.ReadFull(c, answer)
+	require.NoError(t, err)
+	require.Equal(t, "READY", string(answer))
+	<-stopped
+	require.Zero(t, s.nodes[0].server.SessionCount())
+}
--- a/serve/server.go
+++ b/serve/server.go
@@ -75,19 +75,21 @@
 	return &Server{config: config, inflight: newInflight(), commits: newCommitTracker(), readDemand: newReadDemand(), pollRounds: newPollRounds(), sessions: map[*callerSession]struct{}{}}
 }
 
-// Serve serves a caller until the session ends.
-func (s *Server) Serve(conn model.CallerConn) {
+// Open counts the session of a caller as open; the returned function serves it until it ends.
+func (s *Server) Open(conn model.CallerConn) (serve func()) {
 	c := newCallerSession(s, conn)
 	s.mu.Lock()
 	s.sessions[c] = struct{}{}
 	s.mu.Unlock()
-	defer func() {
-		conn.Close()
-		s.mu.Lock()
-		delete(s.sessions, c)
-		s.mu.Unlock()
-	}()
-	c.run()
+	return func() {
+		defer func() {
+			conn.Close()
+			s.mu.Lock()
+			delete(s.sessions, c)
+			s.mu.Unlock()
+		}()
+		c.run()
+	}
 }
 
 // SessionCount returns the number of open sessions.
--- a/sock/idle.go
+++ b/sock/idle.go
@@ -4,6 +4,7 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Idle reports whether a connected socket is open and has nothing to read, not even the end of the stream.
@@ -26,3 +27,13 @@
 	}
 	return result
 }
+
+// ConnectionWaits reports whether a connection waits at a listening socket to be accepted.
+func ConnectionWaits(raw syscall.RawConn) bool {
+	waits := false
+	err := raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		waits = err == nil && n > 0
+	})
+	return err == nil && waits
+}
--- a/sock/idle_test.go
+++ b/sock/idle_test.go
@@ -36,3 +36,23 @@
 	require.False(t, Idle(raw), "a closed connection is not idle")
 	require.False(t, Readable(raw), "a closed connection is not readable")
 }
+
+func TestConnectionWaitsUntilItIsAccepted(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	tcp, ok := listener.(*net.TCPListener)
+	require.True(t, ok)
+	raw, err := tcp.SyscallConn()
+	require.NoError(t, err)
+	require.False(t, ConnectionWaits(raw))
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.Eventually(t, func() bool { return ConnectionWaits(raw) }, time.Second, time.Millisecond)
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	defer func() { _ = accepted.Close() }()
+	require.False(t, ConnectionWaits(raw))
+	require.NoError(t, listener.Close())
+	require.False(t, ConnectionWaits(raw), "a closed listener has no connection")
+}
