The command receives signals before it does anything else

What callers see: a process that is started and soon gets SIGHUP ends at once, with its sessions; one that gets SIGTERM early ends without its plan. Besides, one order to stop could be lost behind four announcements of new settings.

Cause: the handler of signals was installed by the last step of the start, after the settings were read, the listeners opened and the loops started; until then a signal ends the process. All signals shared one channel with room for four.

A signal before the first step of the command (start of the runtime) still ends the process.

--- a/node/command.go
+++ b/node/command.go
@@ -39,16 +39,17 @@
 			&cli.BoolFlag{Name: "check", Usage: "only check the settings"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			signals := ReceiveSignals()
 			settings, body, err := platform.ReadSettings(c.String("settings"))
 			if err != nil || c.Bool("check") {
 				return err
 			}
-			return run(ctx, settings, body, c)
+			return run(ctx, signals, settings, body, c)
 		},
 	}
 }
 
-func run(ctx context.Context, settings platform.Settings, body []byte, c *cli.Command) error {
+func run(ctx context.Context, signals Signals, settings platform.Settings, body []byte, c *cli.Command) error {
 	logger, ring, err := logs.New(os.Stdout, c.String("log-level"))
 	if err != nil {
 		return err
@@ -64,7 +65,7 @@
 	}, metricsInterval)
 	defer func() { _ = closer.Close() }()
 	n := New(Config{
-		Settings: settings, SettingsBody: body, SettingsPath: c.String("settings"), Log: logger, Scope: scope, MetricsHandler: reporter.HTTPHandler(),
+		Settings: settings, SettingsBody: body, SettingsPath: c.String("settings"), Signals: signals, Log: logger, Scope: scope, MetricsHandler: reporter.HTTPHandler(),
 		Dialer: platform.Dialer{}, OpenRows: func() model.RowStore { return platform.NewStore(settings.Store) },
 		Promotions: platform.NewPromotions(settings.Promotions),
 		Metrics:    netip.AddrPortFrom(settings.Address, c.Uint16("metrics-port")),
--- a/node/node.go
+++ b/node/node.go
@@ -5,10 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -51,6 +48,8 @@
 		Settings     platform.Settings
 		SettingsBody []byte
 		SettingsPath string
+		// Signals are the signals of the process.
+		Signals Signals
 		// Dialer connects to instances, OpenRows returns a client of the platform's store, and Promotions orders promotions at the platform.
 		Dialer         model.Dialer
 		OpenRows       func() model.RowStore
@@ -176,8 +175,6 @@
 
 // wait handles signals and changes of the settings file until the process has to end.
 func (n *Node) wait(ctx context.Context, callers *entrance) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
@@ -186,11 +183,9 @@
 			return ctx.Err()
 		case <-ticker.C:
 			n.reload(false)
-		case got := <-signals:
-			if got == syscall.SIGHUP {
-				n.reload(true)
-				continue
-			}
+		case <-n.config.Signals.Reload:
+			n.reload(true)
+		case <-n.config.Signals.Stop:
 			n.shutdown(ctx, callers)
 			return nil
 		}
