Whatever a stopping process has not answered at its end is given up with a true answer

What callers see: a connection of a process that stops ends without an answer to a statement that it has read.

Cause: the plan of the stop is asked for a deadline once, when a statement begins. A statement that began before SIGTERM keeps its own; a rollback, the wait for a primary and the queue of the pool are bounded by none of the plan's instants. And the process ended 0.5 s before SIGKILL whatever was unanswered, which a process that gets no processor time reaches with all of its sessions.

Fix: instead of one more bound for each wait, a session records that it owes an answer (two atomic operations a statement), and the end of the process takes over what is owed: Server.GiveUp answers with a fault that is true for the kind of statement and the state of the transaction (INDOUBT for what may last, TIMEOUT for a read, ABORTED inside a transaction), in the same goroutine that then exits, so that it does not depend on timers. While sessions remain, up to 0.25 s of the 0.5 s before SIGKILL are used.

--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,8 @@
 	exitMargin = 500 * time.Millisecond
 	// answerMargin is how long before that no statement runs any more, so that all sessions are answered and end.
 	answerMargin = 200 * time.Millisecond
+	// lateMargin is how much later the process exits if sessions have not ended by then, as happens when it gets no processor time.
+	lateMargin = 250 * time.Millisecond
 	// balancerLag is how long the load balancer still sends new connections to a VM that is not ready.
 	balancerLag = 2200 * time.Millisecond
 	// drainPollInterval is the interval at which a stopping process checks whether its sessions have ended.
@@ -204,7 +206,13 @@
 	go n.server.Drain(ctx, plan)
 	awaitUntil(plan.StatementsUntil, func() bool { return clock.Now().Sub(now) >= balancerLag && !callers.connectionWaits() && n.idle() })
 	callers.close()
-	awaitUntil(exitAt, func() bool { return callers.hasEnded() && n.idle() })
+	ended := func() bool { return callers.hasEnded() && n.idle() }
+	awaitUntil(exitAt, ended)
+	n.server.GiveUp()
+	awaitUntil(exitAt.Add(lateMargin), func() bool {
+		n.server.GiveUp()
+		return ended()
+	})
 	n.registrar.Remove(ctx)
 	n.config.Log.Info("daemon stopped", "sessions", n.server.SessionCount(), "after", clock.Now().Sub(now).Round(time.Millisecond))
 }
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -173,9 +174,7 @@
 func TestConnectionThatWaitsIsServedByAStoppingNode(t *testing.T) {
 	s := newSite(t, 2)
 	in := s.newEntrance(t, 0)
-	stopping := *s.nodes[0].settings.Load()
-	stopping.Grace = 6 * time.Second
-	s.nodes[0].settings.Store(&stopping)
+	s.setGrace(0, 6*time.Second)
 	stopped := s.stopNodeWith(t, 0, in)
 	c, err := net.Dial("tcp", in.listener.Addr().String())
 	require.NoError(t, err)
@@ -192,3 +191,49 @@
 	<-stopped
 	require.Zero(t, s.nodes[0].server.SessionCount())
 }
+
+// setGrace sets how long a node has between the order to stop and its end.
+func (s *site) setGrace(node int, grace time.Duration) {
+	settings := *s.nodes[node].settings.Load()
+	settings.Grace = grace
+	s.nodes[node].settings.Store(&settings)
+}
+
+// TestStatementThatOutlastsTheStopIsAnswered guards against a connection that ends without an answer because the wait of its statement was
+// bounded before the stop was ordered, or is bounded by none of its instants.
+func TestStatementThatOutlastsTheStopIsAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare []string
+		last    string
+		answer  string
+	}{
+		{"read", nil, "READ item", "TIMEOUT"},
+		{"write", nil, "WRITE item x", "INDOUBT"},
+		{"statement in a transaction", []string{"BEGIN", "WRITE item a"}, "WRITE item b", "ABORTED"},
+		{"commit", []string{"BEGIN", "WRITE item a"}, "COMMIT", "INDOUBT"},
+		{"rollback", []string{"BEGIN", "WRITE item a"}, "ROLLBACK", "DONE"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t, 2)
+			s.setGrace(0, exitMargin+50*time.Millisecond)
+			caller, err := s.dial(0, "revise", "key-1")
+			require.NoError(t, err)
+			for _, text := range c.prepare {
+				caller.must(t, text)
+			}
+			for _, instance := range []model.InstanceName{"i-1", "i-2", "i-3"} {
+				s.cluster.SetFaults(instance, stand.DatabaseFaults{Unresponsive: true})
+			}
+			ends := make(chan string, 1)
+			go func() {
+				_, _, end, err := caller.ask(c.last)
+				ends <- fmt.Sprint(end, err)
+			}()
+			time.Sleep(20 * time.Millisecond)
+			<-s.stopNode(t, 0)
+			require.Zero(t, s.nodes[0].server.SessionCount(), "a session is cut off by the end of the process")
+			require.Contains(t, <-ends, c.answer)
+		})
+	}
+}
--- a/serve/server.go
+++ b/serve/server.go
@@ -82,16 +82,19 @@
 	s.sessions[c] = struct{}{}
 	s.mu.Unlock()
 	return func() {
-		defer func() {
-			conn.Close()
-			s.mu.Lock()
-			delete(s.sessions, c)
-			s.mu.Unlock()
-		}()
+		defer s.end(c)
 		c.run()
 	}
 }
 
+// end closes the connection of a session, which is not counted any more.
+func (s *Server) end(c *callerSession) {
+	c.conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, c)
+}
+
 // SessionCount returns the number of open sessions.
 func (s *Server) SessionCount() int {
 	s.mu.Lock()
--- a/serve/session.go
+++ b/serve/session.go
@@ -27,6 +27,7 @@
 	lastConn model.PooledConn
 
 	inTransaction atomic.Bool
+	owed          owedAnswer
 }
 
 func newCallerSession(server *Server, conn model.CallerConn) *callerSession {
@@ -76,7 +77,11 @@
 		if err != nil || command.Kind == model.CommandQuit {
 			return
 		}
+		c.owed.begin(command.Kind, c.session.State)
 		reply, last := c.handle(command)
+		if !c.owed.end() {
+			return
+		}
 		reply = c.server.addRetryAdvice(reply)
 		reply.State = c.session.State
 		c.inTransaction.Store(c.session.State != model.TxNone)
