A message that is no text, or too long, is answered

What callers see: the session ends without any answer to a whole message with a CR, a zero byte, invalid UTF-8 or more than 1 MiB; likewise after a first message that is not START.

Cause: the reader of lines reports such a message with the same kind of error as a broken connection, and the session ends on every error.

--- a/model/instanceconn.go
+++ b/model/instanceconn.go
@@ -11,6 +11,8 @@
 	ErrNoAnswer = errors.New("the connection ended before the answer")
 	// ErrNotSent reports that the instance received nothing of what was to be sent.
 	ErrNotSent = errors.New("nothing was sent to the instance")
+	// ErrBadMessage reports a whole message of a caller that is none of the protocol; the following one can be read.
+	ErrBadMessage = errors.New("the message is not valid")
 	// ErrInterrupted reports that the wait for a caller's statement was interrupted.
 	ErrInterrupted = errors.New("the wait for a statement was interrupted")
 )
--- a/serve/session.go
+++ b/serve/session.go
@@ -37,7 +37,7 @@
 func (c *callerSession) run() {
 	hello, err := c.conn.Hello(time.Now().Add(helloTimeout))
 	if err != nil {
-		c.server.config.Log.Debug("session not opened", "error", err)
+		c.notOpened(err)
 		return
 	}
 	c.hello = hello
@@ -55,6 +55,17 @@
 	c.endTransaction()
 }
 
+// notOpened answers a first message that opens no session.
+func (c *callerSession) notOpened(err error) {
+	c.server.config.Log.Debug("session not opened", "error", err)
+	if !errors.Is(err, model.ErrBadMessage) {
+		return
+	}
+	if err := c.conn.Reject(model.FaultBadMessage, ""); err != nil {
+		c.server.config.Log.Debug("rejection not delivered", "error", err)
+	}
+}
+
 // admit checks database and key against the settings in effect.
 func (c *callerSession) admit() (policy.Route, model.TeamName, model.Fault) {
 	p := c.server.config.Cache.Snapshot().Policy
@@ -96,7 +107,10 @@
 func (c *callerSession) nextCommand() (model.Command, error) {
 	for {
 		command, err := c.conn.Next(c.readDeadline())
-		if !errors.Is(err, model.ErrInterrupted) {
+		switch {
+		case errors.Is(err, model.ErrBadMessage):
+			return model.Command{Kind: model.CommandInvalid}, nil
+		case !errors.Is(err, model.ErrInterrupted):
 			return command, err
 		}
 	}
