A stop follows the settings file as it is at the order to stop

What callers see: if the grace period in the file was shortened without a signal less than 2 s before SIGTERM, the process plans its stop for longer than it has, and SIGKILL ends its sessions.

Cause: the file is compared with the settings in effect every 2 s, and not at SIGTERM.

Fix: the stop reads the file first, once the VM reports itself as not ready.

--- a/node/node.go
+++ b/node/node.go
@@ -197,9 +197,10 @@
 // shutdown shuts the daemon down: it takes the VM out of rotation and ends its sessions, those in a transaction last.
 func (n *Node) shutdown(ctx context.Context, callers *entrance) {
 	now := clock.Now()
+	n.stopping.Store(true)
+	n.reload(false)
 	grace := n.settings.Load().Grace
 	n.config.Log.Info("daemon stopping", "grace", grace, "sessions", n.server.SessionCount())
-	n.stopping.Store(true)
 	n.remoteServer.StopAccepting()
 	exitAt := now.Add(grace - exitMargin)
 	plan := serve.DrainPlan{TransactionsUntil: now.Add(grace / 2), StatementsUntil: exitAt.Add(-answerMargin)}
--- a/node/reload_test.go
+++ b/node/reload_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"io"
+	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/platform"
+	"github.com/crocusshore/crocusshore/stand"
 )
 
 const fileText = `
@@ -51,3 +56,24 @@
 	n.reload(true)
 	require.Equal(t, 6*time.Second, n.settings.Load().Grace, "a missing file changes nothing")
 }
+
+// TestStopFollowsTheSettingsFile guards against a node that plans its stop for longer than it has, because the file changed without a signal just
+// before the order to stop.
+func TestStopFollowsTheSettingsFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(strings.Replace(fileText, "GraceS: 6", "GraceS: 1", 1)), 0o600))
+	settings, err := platform.ParseSettings([]byte(fileText))
+	require.NoError(t, err)
+	rows := stand.NewRows()
+	n := New(Config{
+		Settings: settings, SettingsBody: []byte(fileText), SettingsPath: path, OpenRows: func() model.RowStore { return rows.Client("vm") },
+		Log: log.New(io.Discard), Scope: tally.NoopScope,
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	in := newEntrance(listener, n.config.Log)
+	go in.acceptEach(n.openSession)
+	started := time.Now()
+	n.shutdown(t.Context(), in)
+	require.Less(t, time.Since(started), time.Second)
+}
