Soak of planned work gives instances slots for its sessions

Planned work now has one slot in an instance for four of its group's sessions, three at least; runs with faults keep three.

--- a/soak/config.go
+++ b/soak/config.go
@@ -8,8 +8,14 @@
 	"github.com/cockroachdb/errors"
 )
 
-// defaultGrace is the time between SIGTERM and SIGKILL if the configuration names none.
-const defaultGrace = 3 * time.Second
+const (
+	// defaultGrace is the time between SIGTERM and SIGKILL if the configuration names none.
+	defaultGrace = 3 * time.Second
+	// minSlots is the least number of slots of an instance.
+	minSlots = 3
+	// sessionsPerSlot is how many sessions share a slot in runs of planned work, where no instance is overloaded.
+	sessionsPerSlot = 4
+)
 
 // Config describes a run.
 type Config struct {
@@ -56,3 +62,11 @@
 	}
 	return c.Grace
 }
+
+// slots returns the number of slots of an instance.
+func (c Config) slots() int {
+	if c.PlannedOnly {
+		return max(minSlots, c.Sessions/c.Groups/sessionsPerSlot)
+	}
+	return minSlots
+}
--- a/soak/site.go
+++ b/soak/site.go
@@ -96,7 +96,7 @@
 			role = model.RolePrimary
 		}
 		members = append(members, model.Instance{
-			Name: model.InstanceName(fmt.Sprintf("i-%d-%d", g, d)), Group: groupName(g), Domain: domainName(d), Slots: 3, Role: role,
+			Name: model.InstanceName(fmt.Sprintf("i-%d-%d", g, d)), Group: groupName(g), Domain: domainName(d), Slots: s.config.slots(), Role: role,
 			StartedAt: time.Now(),
 		})
 	}
