The former primary is a recorded replica of the one that replaces it

Callers lost acknowledged commits when the former primary, a replica after its replacement, alone received the commits of the new primary and left before the record named it: processes that started after that took the remaining replicas for all there were.

Cause: the record of the new primary named the registered replicas, and the former primary was left out until it was registered as a replica and a VM had added it. It confirms commits as soon as it is demoted.

Change: the record of the new primary names the former one from the start if it answered, was stuck, or may have been demoted by an earlier run. A recorded instance that still reports that it is a primary is not taken for one that has left. One that crashed is not added: it can confirm commits only after its return, and would keep the group from another replacement meanwhile.

--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -47,9 +47,12 @@
 }
 
 // registeredReplicas returns the registered instances of a group that may confirm commits of its primary. An instance that reports that it is a
-// primary confirms none.
+// primary confirms none, unless it is recorded: then it was replaced, and its report is late.
 func registeredReplicas(snapshot *state.Snapshot, group model.GroupName) []model.Instance {
-	return slices.DeleteFunc(snapshot.GroupReplicas(group), func(i model.Instance) bool { return i.Role == model.RolePrimary })
+	recorded := snapshot.Primaries[group].Replicas
+	return slices.DeleteFunc(snapshot.GroupReplicas(group), func(i model.Instance) bool {
+		return i.Role == model.RolePrimary && !slices.ContainsFunc(recorded, i.Incarnation().Equal)
+	})
 }
 
 // recordReplicas changes the recorded replicas of a group: it adds those that joined, or drops those that have left.
@@ -113,12 +116,17 @@
 	return err
 }
 
-// nextReplicas returns the replicas to record with a new primary.
+// nextReplicas returns the replicas to record with a new primary. The old primary is one of them if it runs, or may run: it confirms commits as
+// soon as it was demoted, before it registers as a replica.
 func (r *replacement) nextReplicas(target model.Instance) []model.Incarnation {
 	if r.record.Replicas == nil {
 		return nil
 	}
 	registered := registeredReplicas(r.s.config.Cache.Snapshot(), r.group)
+	if r.oldKnown && (r.answered || r.stuck || !r.newIntent) {
+		registered = slices.DeleteFunc(registered, func(i model.Instance) bool { return i.Name == r.old.Name })
+		registered = append(registered, r.old)
+	}
 	all := elect.CompareReplicas(r.record.Replicas, registered).Add(r.record.Replicas)
 	return without(all, target.Name)
 }
