A session of a stopping process goes on if its next statement has arrived

What callers see: the connection ends after an answer, and the next statement, which the process has read or has left unread for a while, gets none.

Cause: a session that ends right after the answer to its operation closes whatever has come: a statement in the read buffer of the process, or one that came while the process got no processor time between the answer and the close. A close with bytes unread also resets the connection.

Fix: before it ends, the session asks whether anything has arrived (buffer, then socket); if so, it goes on with it. This costs one system call at the end of a session of a process that stops or sheds. A refusal at the end of the plan ends the session by the same rule.

Test: TestNextStatementThatArrivedIsAnsweredByAStoppingNode; before, one of two answers is given.

--- a/model/instanceconn.go
+++ b/model/instanceconn.go
@@ -91,6 +91,8 @@
 		Hello(deadline time.Time) (Hello, error)
 		// Next reads the next statement; a zero deadline means no limit.
 		Next(deadline time.Time) (Command, error)
+		// Arrived reports whether anything that came after the last message waits to be read.
+		Arrived() bool
 		// Interrupt makes a waiting or the following Next return ErrInterrupted at once.
 		Interrupt()
 		// Accept accepts the session.
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -237,3 +237,20 @@
 		})
 	}
 }
+
+// TestNextStatementThatArrivedIsAnsweredByAStoppingNode guards against a session that ends right after an answer although the next statement has
+// come: the process had read it already, or got no processor time between the answer and the end of the session.
+func TestNextStatementThatArrivedIsAnsweredByAStoppingNode(t *testing.T) {
+	s := newSite(t, 2)
+	stopped := s.stopNode(t, 0)
+	time.Sleep(100 * time.Millisecond)
+	c, err := s.dial(0, "revise", "key-1")
+	require.NoError(t, err)
+	require.NoError(t, c.conn.SetDeadline(time.Now().Add(time.Second)))
+	_, err = io.WriteString(c.conn, "QUERY p1 READ item\r\nQUERY p2 READ item\r\n")
+	require.NoError(t, err)
+	answers, err := io.ReadAll(c.in)
+	require.NoError(t, err)
+	require.Equal(t, 2, strings.Count(string(answers), "DONE"), "%s", answers)
+	<-stopped
+}
--- a/serve/drain.go
+++ b/serve/drain.go
@@ -63,8 +63,8 @@
 }
 
 // endsAfter reports whether the session ends after the answer to a statement because the process stops or sheds its sessions. Right after the
-// answer to the last statement of an operation, the caller has sent nothing that the end of the session would cut off. A session whose
-// caller only sets it up continues, or it would end before its first operation.
+// answer to the last statement of an operation, the caller has usually sent nothing that the end of the session would cut off; if it has, the
+// session goes on. A session whose caller only sets it up continues, or it would end before its first operation.
 func (c *callerSession) endsAfter(now time.Time, kind model.CommandKind) bool {
 	if c.session.State != model.TxNone || !c.server.endsIdleSessions() {
 		return false
--- a/serve/session.go
+++ b/serve/session.go
@@ -96,7 +96,10 @@
 		reply = c.server.addRetryAdvice(reply)
 		reply.State = c.session.State
 		c.inTransaction.Store(c.session.State != model.TxNone)
-		if err := c.conn.Answer(reply); err != nil || last || c.endsAfter(clock.Now(), command.Kind) {
+		if err := c.conn.Answer(reply); err != nil || last {
+			return
+		}
+		if c.endsAfter(clock.Now(), command.Kind) && !c.conn.Arrived() {
 			return
 		}
 	}
@@ -211,7 +214,6 @@
 	}
 	if !c.server.drain.Load().mayRun(now) {
 		op.refusal = c.server.refuse(model.FaultBusy, stoppingDetail, defaultRetryAfter)
-		op.endSession = true
 		return op
 	}
 	c.server.readDemand.record(now, route)
