A session does not close its connection before its given-up answer is written

What callers see: at the end of a stopping process, a connection that closes without the answer that the process was about to give.

Cause: Server.GiveUp takes over the answer that a session owes and then writes it. If the session's own work ends in between, the session saw that the answer is not its own and closed the connection.

Fix: a session whose answer was taken over waits until it is written. Found by reading.

Test: TestOwedAnswerIsGivenOnce; without the wait it fails with "the session ends before the answer is given". serve passes with -race; TestStatementThatOutlastsTheStopIsAnswered and TestSessionsInUseEndBeforeAStoppingNode pass twice.

--- a/serve/owed.go
+++ b/serve/owed.go
@@ -16,6 +16,8 @@
 	owed  atomic.Bool
 	kind  model.CommandKind
 	state model.TxState
+	// given is closed once the process that ends has given the answer.
+	given chan struct{}
 }
 
 // begin records that a statement was read in a transaction state.
@@ -24,8 +26,17 @@
 	o.owed.Store(true)
 }
 
-// end reports whether the answer is still to be given; whoever gets true gives it.
-func (o *owedAnswer) end() bool { return o.owed.CompareAndSwap(true, false) }
+// end reports whether the session gives the answer. If not, end returns once the answer is given, so that the session may close its connection.
+func (o *owedAnswer) end() bool {
+	if o.takeOver() {
+		return true
+	}
+	<-o.given
+	return false
+}
+
+// takeOver reports whether an answer is owed; whoever gets true gives it.
+func (o *owedAnswer) takeOver() bool { return o.owed.CompareAndSwap(true, false) }
 
 // givenUpReply returns a truthful answer to a statement of which only the kind and the transaction state before it are known. The session ends
 // after it, which rolls back a transaction whose commit was not sent.
@@ -54,6 +65,7 @@
 			if err := c.conn.Answer(reply); err != nil {
 				s.config.Log.Debug("answer not delivered", "error", err)
 			}
+			close(c.owed.given)
 			s.end(c)
 		})
 	}
@@ -74,7 +86,7 @@
 	defer s.mu.Unlock()
 	var sessions []*callerSession
 	for c := range s.sessions {
-		if c.owed.end() {
+		if c.owed.takeOver() {
 			sessions = append(sessions, c)
 		}
 	}
--- a/serve/owed_test.go
+++ b/serve/owed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -34,11 +35,23 @@
 	}
 }
 
-// TestOwedAnswerIsGivenOnce guards against two answers to one statement.
+// TestOwedAnswerIsGivenOnce guards against two answers to one statement, and against a session that closes its connection while the process
+// that ends is about to give the answer.
 func TestOwedAnswerIsGivenOnce(t *testing.T) {
-	var o owedAnswer
-	require.False(t, o.end(), "nothing was asked")
+	o := owedAnswer{given: make(chan struct{})}
+	require.False(t, o.takeOver(), "nothing was asked")
 	o.begin(model.CommandRead, model.TxNone)
 	require.True(t, o.end())
-	require.False(t, o.end())
+	require.False(t, o.takeOver(), "the session gave the answer")
+	o.begin(model.CommandRead, model.TxNone)
+	require.True(t, o.takeOver())
+	ended := make(chan bool, 1)
+	go func() { ended <- o.end() }()
+	select {
+	case <-ended:
+		t.Fatal("the session ends before the answer is given")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(o.given)
+	require.False(t, <-ended)
 }
--- a/serve/session.go
+++ b/serve/session.go
@@ -31,7 +31,7 @@
 }
 
 func newCallerSession(server *Server, conn model.CallerConn) *callerSession {
-	return &callerSession{server: server, conn: conn, session: sess.New()}
+	return &callerSession{server: server, conn: conn, session: sess.New(), owed: owedAnswer{given: make(chan struct{})}}
 }
 
 func (c *callerSession) run() {
