A transaction in use may pause for a moment in the second half of the grace period

What callers see: the connection of a transaction in use ends without a word, from half of the grace period on, when 60 ms pass between two of its statements. The test of transactions without pauses failed for that: its own caller got no processor time for that long.

Cause: one timeout served two waits: the last read of an idle session, for a statement that is on its way, and the pause inside a transaction.

Fix: a transaction may pause for 250 ms then, up to the end of statements. An idle one ends 190 ms later than before.

The expected value of one row of the plan's table test follows, and a row for the end of statements is new.

--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -136,6 +136,24 @@
 	require.Zero(t, s.nodes[0].server.SessionCount())
 }
 
+// TestTransactionThatPausesOutlastsHalfOfTheGracePeriod guards against a transaction in use that is cut off in the second half of the grace period
+// because its caller pauses for a moment between two statements.
+func TestTransactionThatPausesOutlastsHalfOfTheGracePeriod(t *testing.T) {
+	const pause = 120 * time.Millisecond
+	s := newSite(t, 2)
+	c, err := s.dial(0, "revise", "key-1")
+	require.NoError(t, err)
+	c.must(t, "BEGIN")
+	stopped := s.stopNode(t, 0)
+	until := time.Now().Add(s.nodes[0].settings.Load().Grace/2 + 2*pause)
+	for time.Now().Before(until) {
+		c.must(t, "WRITE item x")
+		time.Sleep(pause)
+	}
+	c.must(t, "COMMIT")
+	<-stopped
+}
+
 // TestStatementOfAStoppingNodeIsAnsweredWithoutTheInstance guards against a connection that ends without an answer because an instance
 // needs longer than the process has.
 func TestStatementOfAStoppingNodeIsAnsweredWithoutTheInstance(t *testing.T) {
--- a/serve/drain.go
+++ b/serve/drain.go
@@ -11,6 +11,8 @@
 const (
 	// finalReadTimeout is the timeout of the last read before a session is closed, for a statement that is already on its way.
 	finalReadTimeout = 60 * time.Millisecond
+	// finalPauseTimeout is how long a transaction may still pause between its statements once idle transactions have to end.
+	finalPauseTimeout = 250 * time.Millisecond
 	// stoppingDetail is the reason in a refusal by a process that stops.
 	stoppingDetail = "the VM stops"
 )
@@ -28,7 +30,7 @@
 	if p == nil {
 		return idle
 	}
-	left := max(finalReadTimeout, p.TransactionsUntil.Sub(now))
+	left := max(p.TransactionsUntil.Sub(now), min(finalPauseTimeout, p.StatementsUntil.Sub(now)), finalReadTimeout)
 	if idle == 0 {
 		return left
 	}
--- a/serve/drain_test.go
+++ b/serve/drain_test.go
@@ -26,7 +26,8 @@
 		{"just stopping", plan, 0, 2 * time.Second, 2 * time.Second, true, 2500},
 		{"just stopping, no limit", plan, 0, 0, 3 * time.Second, true, 2500},
 		{"near the end of transactions", plan, 2500, 2 * time.Second, 500 * time.Millisecond, true, 5000},
-		{"after the end of transactions", plan, 3500, 2 * time.Second, finalReadTimeout, true, 5300},
+		{"after the end of transactions", plan, 3500, 2 * time.Second, finalPauseTimeout, true, 5300},
+		{"near the end of statements", plan, 5200, 2 * time.Second, 100 * time.Millisecond, true, 5300},
 		{"after the end of statements", plan, 5300, 2 * time.Second, finalReadTimeout, false, 5300},
 	} {
 		t.Run(c.name, func(t *testing.T) {
