Soak audits writes once every group has a primary

The audit began at 13:10:34.31, while the planned switch of orders-0 was under way (primary replaced at 13:10:34.50); a group without a primary has no log, so all its writes counted as lost.

--- a/soak/audit_test.go
+++ b/soak/audit_test.go
@@ -94,3 +94,15 @@
 		require.Len(t, s.history.violations, violations)
 	}
 }
+
+// TestAuditAwaitsThePrimaryOfEachGroup guards against an audit during a planned switch: with no primary there is no log to compare, and all
+// writes of the group counted as lost.
+func TestAuditAwaitsThePrimaryOfEachGroup(t *testing.T) {
+	member := model.Instance{Name: "i-1", Group: "g", Role: model.RoleReplica, Slots: 3}
+	s := &site{history: newHistory(), clusters: []*stand.Cluster{stand.NewCluster(stand.ClusterConfig{Group: "g", Instances: []model.Instance{member}})}}
+	require.False(t, s.havePrimaries())
+	require.NoError(t, s.clusters[0].Promote(t.Context(), model.PromoteOrder{Group: "g", Target: "i-1", Fence: 1}))
+	s.awaitPrimaries(t.Context())
+	require.Empty(t, s.history.violations)
+	require.True(t, s.havePrimaries())
+}
--- a/soak/probe.go
+++ b/soak/probe.go
@@ -64,3 +64,19 @@
 		s.history.addViolation("settings: a key that was withdrawn is accepted after %s", inEffectTimeout)
 	}
 }
+
+// awaitPrimaries waits until every group has a primary, whose log the audit compares with what callers were answered.
+func (s *site) awaitPrimaries(ctx context.Context) {
+	if !s.await(ctx, recoveryTimeout, s.havePrimaries) {
+		s.history.addViolation("recovery: a group has no primary %s after the last statement", recoveryTimeout)
+	}
+}
+
+func (s *site) havePrimaries() bool {
+	for _, cluster := range s.clusters {
+		if name, _ := cluster.Primary(); name == "" {
+			return false
+		}
+	}
+	return true
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -71,6 +71,7 @@
 	close(stop)
 	callers.Wait()
 	s.revokeKey(ctx)
+	s.awaitPrimaries(ctx)
 	time.Sleep(replicationWait)
 	s.audit()
 	return s.report(faults), ctx.Err()
