Tests of the stop look at the sessions at the instant of the node's end

The node ends some milliseconds after the answer, and the test looked only once it got processor time.

The tests now require that no session was left at the instant at which the process would end, instead of an end that is not seen yet when the test looks, or a count some time after it. What ended without an answer before the fixes leaves a session then, so this is as strict.

--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -37,7 +37,7 @@
 	require.True(t, s.serves(0), "callers that the load balancer still sends are served")
 	require.False(t, s.nodes[0].ready())
 	select {
-	case <-stopped:
+	case <-stopped.reached:
 	case <-time.After(4 * time.Second):
 		t.Fatal("the node does not end")
 	}
@@ -51,7 +51,7 @@
 const registrationWait = 700 * time.Millisecond
 
 // stopNode begins to stop a node as SIGTERM does; the channel is closed once its process would end.
-func (s *site) stopNode(t *testing.T, node int) (stopped chan struct{}) {
+func (s *site) stopNode(t *testing.T, node int) *nodeEnd {
 	t.Helper()
 	in := s.newEntrance(t, node)
 	go in.acceptEach(s.nodes[node].openSession)
@@ -67,21 +67,35 @@
 }
 
 // stopNodeWith begins to stop a node that closes the given entrance.
-func (s *site) stopNodeWith(t *testing.T, node int, in *entrance) (stopped chan struct{}) {
+func (s *site) stopNodeWith(t *testing.T, node int, in *entrance) *nodeEnd {
 	t.Helper()
-	stopped = make(chan struct{})
+	end := &nodeEnd{reached: make(chan struct{})}
 	go func() {
 		s.nodes[node].shutdown(t.Context(), in)
-		close(stopped)
+		end.sessions = s.nodes[node].server.SessionCount()
+		close(end.reached)
 	}()
-	return stopped
+	return end
+}
+
+// nodeEnd is the end of a node that stops: reached is closed once its process would end, and sessions is how many that would cut off.
+type nodeEnd struct {
+	reached  chan struct{}
+	sessions int
+}
+
+// requireNoSessionCut waits for the end and requires that it cuts off no session.
+func (e *nodeEnd) requireNoSessionCut(t *testing.T) {
+	t.Helper()
+	<-e.reached
+	require.Zero(t, e.sessions, "a session is cut off by the end of the process")
 }
 
 // requireNotEnded requires that a node which stops has not ended yet.
-func requireNotEnded(t *testing.T, stopped chan struct{}) {
+func requireNotEnded(t *testing.T, end *nodeEnd) {
 	t.Helper()
 	select {
-	case <-stopped:
+	case <-end.reached:
 		t.Fatal("the node ended before it answered")
 	default:
 	}
@@ -111,8 +125,7 @@
 		})
 	}
 	time.Sleep(200 * time.Millisecond)
-	<-s.stopNode(t, 0)
-	require.Zero(t, s.nodes[0].server.SessionCount())
+	s.stopNode(t, 0).requireNoSessionCut(t)
 	callers.Wait()
 }
 
@@ -131,9 +144,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	require.Contains(t, end, "ABORTED")
-	requireNotEnded(t, stopped)
-	<-stopped
-	require.Zero(t, s.nodes[0].server.SessionCount())
+	stopped.requireNoSessionCut(t)
 }
 
 // TestTransactionThatPausesOutlastsHalfOfTheGracePeriod guards against a transaction in use that is cut off in the second half of the grace period
@@ -151,7 +162,7 @@
 		time.Sleep(pause)
 	}
 	c.must(t, "COMMIT")
-	<-stopped
+	<-stopped.reached
 }
 
 // TestStatementOfAStoppingNodeIsAnsweredWithoutTheInstance guards against a connection that ends without an answer because an instance
@@ -168,7 +179,7 @@
 	_, _, end, err := c.ask("WRITE item x")
 	require.NoError(t, err)
 	require.Regexp(t, "TIMEOUT|INDOUBT", end)
-	requireNotEnded(t, stopped)
+	stopped.requireNoSessionCut(t)
 }
 
 // TestSessionOpenedAtAStoppingNodeServesAnOperation guards against sessions that end before their first operation: the load balancer still sends
@@ -184,7 +195,7 @@
 	c.must(t, "WRITE item x")
 	_, err = c.in.ReadByte()
 	require.ErrorIs(t, err, io.EOF, "the session ends right after the answer")
-	<-stopped
+	<-stopped.reached
 }
 
 // TestConnectionThatWaitsIsServedByAStoppingNode guards against connections that a stopping node resets because it ends while they wait to be
@@ -206,8 +217,7 @@
 	_, err = io.ReadFull(c, answer)
 	require.NoError(t, err)
 	require.Equal(t, "READY", string(answer))
-	<-stopped
-	require.Zero(t, s.nodes[0].server.SessionCount())
+	stopped.requireNoSessionCut(t)
 }
 
 // setGrace sets how long a node has between the order to stop and its end.
@@ -249,8 +259,7 @@
 				ends <- fmt.Sprint(end, err)
 			}()
 			time.Sleep(20 * time.Millisecond)
-			<-s.stopNode(t, 0)
-			require.Zero(t, s.nodes[0].server.SessionCount(), "a session is cut off by the end of the process")
+			s.stopNode(t, 0).requireNoSessionCut(t)
 			require.Contains(t, <-ends, c.answer)
 		})
 	}
@@ -270,5 +279,5 @@
 	answers, err := io.ReadAll(c.in)
 	require.NoError(t, err)
 	require.Equal(t, 2, strings.Count(string(answers), "DONE"), "%s", answers)
-	<-stopped
+	<-stopped.reached
 }
