Waits for an instance, a primary or a connection end with the statements of a stop

Cause: these waits are bounded by a share of the latency objective only, up to 200 ms, as long as the margin between the end of statements and the end of the process.

Fix: one function gives the end of such a wait; it asks the plan of the stop.

TestWaitForAnInstanceEndsWithTheStop: 15 s before, 50 ms now.

--- a/serve/admit_test.go
+++ b/serve/admit_test.go
@@ -28,22 +28,42 @@
 	return share.Decision{Admitted: true}
 }
 
-// TestOperationThatNoInstanceCanTakeUsesNoToken guards against teams that run out of tokens after a start of all VMs: VMs that may not use
-// any primary yet rejected operations after each had taken a token of its team, and so did the repeated attempts.
-func TestOperationThatNoInstanceCanTakeUsesNoToken(t *testing.T) {
+// newSessionWithoutLease returns a session of a caller on a VM that may not use the primary of the group yet.
+func newSessionWithoutLease(limiter Limiter, targetLatency time.Duration) (*callerSession, *state.Cache) {
 	cache := state.New(state.Config{VM: "vm", Boot: "boot", LeaseTTL: time.Second})
-	route := policy.Route{Name: "r", Database: "quote", Group: "g", Consistency: policy.ConsistencySession, MaxAge: time.Second, TargetLatency: 200 * time.Millisecond}
+	route := policy.Route{Name: "r", Database: "quote", Group: "g", Consistency: policy.ConsistencySession, MaxAge: time.Second, TargetLatency: targetLatency}
 	cache.SetPolicy(1, &policy.Policy{
 		Routes: map[string]policy.Route{"quote": route}, Keys: map[string]model.TeamName{"key": "team"}, Teams: map[model.TeamName]policy.Team{"team": {Name: "team", Rate: 10}},
 	})
 	cache.ApplyInstances(1, true, []model.Instance{{Name: "p", Group: "g", Address: netip.MustParseAddrPort("10.0.0.1:1"), Role: model.RolePrimary}}, nil, clock.Now())
-	limiter := &countingLimiter{}
 	s := New(Config{
 		Cache: cache, Pool: conns.New(conns.Config{}), Samples: sample.New(), Tracker: place.NewTracker(), Limiter: limiter, Log: log.New(io.Discard),
 		Metrics: tally.NoopScope, RetryDetail: func(reason string, _ time.Duration) string { return reason },
 	})
 	c := newCallerSession(s, nil)
 	c.hello = model.Hello{Database: "quote", Key: "key"}
+	return c, cache
+}
+
+// TestWaitForAnInstanceEndsWithTheStop guards against statements that are unanswered at the end of a stopping process: they waited for an instance
+// for as long as on any other day, beyond the end of statements.
+func TestWaitForAnInstanceEndsWithTheStop(t *testing.T) {
+	c, _ := newSessionWithoutLease(&countingLimiter{}, time.Minute)
+	start := clock.Now()
+	c.server.drain.Store(&DrainPlan{TransactionsUntil: start, StatementsUntil: start.Add(50 * time.Millisecond)})
+	op := operation{route: policy.Route{Group: "g", TargetLatency: time.Minute}, startedAt: start}
+	require.Equal(t, start.Add(50*time.Millisecond), c.waitUntil(op, start))
+	require.Equal(t, model.FaultBusy, c.admitOperation(start, true).refusal.Fault)
+	_, found := c.awaitPrimary(op)
+	require.False(t, found)
+	require.Less(t, clock.Now().Sub(start), op.maxWait())
+}
+
+// TestOperationThatNoInstanceCanTakeUsesNoToken guards against teams that run out of tokens after a start of all VMs: VMs that may not use
+// any primary yet rejected operations after each had taken a token of its team, and so did the repeated attempts.
+func TestOperationThatNoInstanceCanTakeUsesNoToken(t *testing.T) {
+	limiter := &countingLimiter{}
+	c, cache := newSessionWithoutLease(limiter, 200*time.Millisecond)
 	for _, primary := range []bool{true, false} {
 		start := clock.Now()
 		op := c.admitOperation(start, primary)
--- a/serve/pick.go
+++ b/serve/pick.go
@@ -64,7 +64,7 @@
 // awaitInstance reports whether an instance may take the operation now, only the primary if primary is set. While none may, it waits as long as
 // the operation may wait for an instance.
 func (c *callerSession) awaitInstance(op operation, primary bool) bool {
-	waitUntil := op.startedAt.Add(op.maxWait())
+	waitUntil := c.waitUntil(op, op.startedAt)
 	for {
 		now := clock.Now()
 		if c.hasInstance(now, op, primary) {
@@ -94,7 +94,7 @@
 		return nil, errRecentlyFailed
 	}
 	request := conns.Request{
-		Instance: to.instance, Team: op.team, Values: c.session.Values, Class: class(op.route.Priority), Route: op.route.Name, Deadline: now.Add(op.maxWait()),
+		Instance: to.instance, Team: op.team, Values: c.session.Values, Class: class(op.route.Priority), Route: op.route.Name, Deadline: c.waitUntil(op, now),
 	}
 	if to.primary {
 		request.Term = to.lease.Term
@@ -104,6 +104,11 @@
 	return conn, err
 }
 
+// waitUntil returns until when an operation may wait that waits since an instant; a server that stops has to answer before it ends.
+func (c *callerSession) waitUntil(op operation, since time.Time) time.Time {
+	return c.server.drain.Load().statementDeadline(since, op.maxWait())
+}
+
 // maxWait returns how long the operation may wait for an instance, a connection or a primary before it is refused.
 func (o operation) maxWait() time.Duration {
 	return max(time.Duration(maxWaitShare*float64(o.route.TargetLatency)), minWait)
--- a/serve/read.go
+++ b/serve/read.go
@@ -42,7 +42,7 @@
 	for now := op.startedAt; attempts < maxAttempts && now.Before(deadline); now = clock.Now() {
 		to, ok := c.nextUntried(now, op, tried)
 		if !ok {
-			if now.Sub(op.startedAt) > op.maxWait() {
+			if now.After(c.waitUntil(op, op.startedAt)) {
 				break
 			}
 			time.Sleep(busyPause)
--- a/serve/write.go
+++ b/serve/write.go
@@ -16,7 +16,7 @@
 
 // awaitPrimary returns the primary of the operation's group; while it is being replaced, it waits as long as the latency objective allows.
 func (c *callerSession) awaitPrimary(op operation) (target, bool) {
-	waitUntil := op.startedAt.Add(op.maxWait())
+	waitUntil := c.waitUntil(op, op.startedAt)
 	for {
 		now := clock.Now()
 		lease, ok := c.server.config.Cache.Lease(now, op.route.Group)
@@ -34,7 +34,7 @@
 func (c *callerSession) write(op operation, s statement) model.Reply {
 	step := sess.Step{Kind: sess.StepWrite}
 	deadline := c.server.drain.Load().statementDeadline(op.startedAt, op.route.Timeout)
-	waitUntil := op.startedAt.Add(op.maxWait())
+	waitUntil := c.waitUntil(op, op.startedAt)
 	var reply model.Reply
 	var to target
 	for attempts := 1; ; attempts++ {
