--- a/node/random_test.go
+++ b/node/random_test.go
@@ -37,6 +37,12 @@
 	}
 }
 
+// TestRandomFaultsOfASeedThatFailed guards against commits that an instance acknowledged and a promotion removes.
+func TestRandomFaultsOfASeedThatFailed(t *testing.T) {
+	const seed = 7
+	randomRun(t, seed)
+}
+
 func randomRun(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 11))
 	s := newSite(t, 3)
