The target of a planned replacement is chosen just before its promotion

Callers lost acknowledged commits at a planned replacement: the target was chosen when the old primary was demoted, and started again, with an empty log, while the leases of a VM that confirmed nothing ran out (up to 3 s). It was promoted without being asked again.

Change: an instance with the full log is looked for once the leases have ended. If none has it, the replicas are compared as after a failure.

--- a/coord/compare.go
+++ b/coord/compare.go
@@ -24,8 +24,7 @@
 // primary. It returns errReturned if the old primary is back, so that the next run has to hand over from it, and errSuperseded if the record was
 // changed by another VM, whose decisions this one must not undo.
 func (r *replacement) choose(ctx context.Context) (model.Instance, error) {
-	target, handedOver, err := r.handOver(ctx)
-	if err != nil {
+	if err := r.handOver(ctx); err != nil {
 		return model.Instance{}, err
 	}
 	for askedAt := r.announcedAt; ; {
@@ -33,17 +32,8 @@
 		if r.superseded() {
 			return model.Instance{}, errSuperseded
 		}
-		if handedOver && r.allReleased() {
-			return target, nil
-		}
-		r.pause(now)
-		if r.mayCompare(now) {
-			if handedOver {
-				return target, nil
-			}
-			if chosen, ok := r.compare(now); ok {
-				return chosen, nil
-			}
+		if chosen, ok := r.seekTarget(now); ok {
+			return chosen, nil
 		}
 		if r.mayKeep(now) {
 			return model.Instance{}, errKept
@@ -63,6 +53,25 @@
 	}
 }
 
+// seekTarget returns the instance to promote, if the leases on the old primary have ended and an instance can take over.
+func (r *replacement) seekTarget(now time.Time) (model.Instance, bool) {
+	if r.handedOver && r.allReleased() {
+		if target, ok := r.handOverTarget(); ok {
+			return target, true
+		}
+	}
+	r.pause(now)
+	if !r.mayCompare(now) {
+		return model.Instance{}, false
+	}
+	if r.handedOver {
+		if target, ok := r.handOverTarget(); ok {
+			return target, true
+		}
+	}
+	return r.compare(now)
+}
+
 // pause pauses the replicas; while some do not answer, it tries again after retryInterval.
 func (r *replacement) pause(now time.Time) {
 	if !r.pauseTriedAt.IsZero() && now.Sub(r.pauseTriedAt) < retryInterval {
--- a/coord/handover.go
+++ b/coord/handover.go
@@ -37,12 +37,12 @@
 	}
 }
 
-// handOver lets a replica catch up with a primary that still answers, demotes the primary and returns the instance to promote. It
-// returns false if that is not possible. If no replica catches up with a primary that answers, it returns errKept: a commit may have
-// been acknowledged because a replica received it, and that replica may have been removed.
-func (r *replacement) handOver(ctx context.Context) (model.Instance, bool, error) {
+// handOver lets a replica catch up with a primary that still answers, and demotes the primary, if that is possible. If no replica catches up with
+// a primary that answers, it returns errKept: a commit may have been acknowledged because a replica received it, and that replica may have
+// been removed.
+func (r *replacement) handOver(ctx context.Context) error {
 	if !r.answered || r.stuck {
-		return model.Instance{}, false, nil
+		return nil
 	}
 	if !r.newIntent || !r.pausedAt.IsZero() {
 		// This run or an earlier one may have paused the replicas.
@@ -50,17 +50,24 @@
 		r.pausedAt, r.pauseTriedAt, r.replicas = time.Time{}, time.Time{}, nil
 	}
 	if !r.awaitCaughtUp(ctx) {
-		return model.Instance{}, false, errKept
+		return errKept
 	}
 	state, err := r.demote()
-	if err != nil {
-		return model.Instance{}, false, nil
-	}
-	if target, ok := elect.FindCaughtUp(r.callReplicas(model.InstanceConn.Status), state.Received); ok {
-		return target, true, nil
+	r.handedOver, r.final = err == nil, state.Received
+	return nil
+}
+
+// handOverTarget returns an instance that has the full log of the demoted primary. It asks the instances just before the promotion, since one
+// that had the log may have started again, with an empty one, while the leases ran out. If no instance has the log, the replicas have to
+// be compared.
+func (r *replacement) handOverTarget() (model.Instance, bool) {
+	if target, ok := elect.FindCaughtUp(r.callReplicas(model.InstanceConn.Status), r.final); ok {
+		return target, true
 	}
 	// A write arrived after the replica caught up; only the old primary has it.
-	return r.old, true, nil
+	state, err := r.s.status(r.old)
+	r.handedOver = err == nil && !state.Received.Before(r.final)
+	return r.old, r.handedOver
 }
 
 // answersAsPrimary reports whether the old primary answers as the primary of its term.
--- a/coord/replace.go
+++ b/coord/replace.go
@@ -61,6 +61,9 @@
 	releases      map[model.VMID]elect.Release
 	// answered reports whether the old primary answered when its replacement was announced.
 	answered bool
+	// handedOver reports that the old primary was demoted by this run, and final is the end of its log.
+	handedOver bool
+	final      model.Mark
 	// replicas are the replicas as last observed, and pauseTriedAt is when the last attempt to pause them began.
 	replicas     []elect.Replica
 	pauseTriedAt time.Time
