The old primary is recorded as a replica of the new one, also if it crashed

Callers lost acknowledged commits: the record written at a promotion left out an old primary that had crashed. It came back as a replica and confirmed commits alone while the store could not be written; then it and the new primary ended. The record counted as complete, and a replica without the commits was promoted.

Change: the record of the new primary names the old one in any case, not only if it answered, so that it counts as missing until another replica is found to have everything. Cost: after a crash without a return the record is incomplete until the old primary is dropped (20 s); a second replacement in that time relies on what the VMs observed. Losing a commit weighs more.

--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -116,14 +116,14 @@
 	return err
 }
 
-// nextReplicas returns the replicas to record with a new primary. The old primary is one of them if it runs, or may run: it confirms commits as
-// soon as it was demoted, before it registers as a replica.
+// nextReplicas returns the replicas to record with a new primary. The old primary is one of them: once it is back, it may be the only one that
+// confirms commits, before its registration shows it as a replica or while the store cannot be written.
 func (r *replacement) nextReplicas(target model.Instance) []model.Incarnation {
 	if r.record.Replicas == nil {
 		return nil
 	}
 	registered := registeredReplicas(r.s.config.Cache.Snapshot(), r.group)
-	if r.oldKnown && (r.answered || r.stuck || !r.newIntent) {
+	if r.oldKnown {
 		registered = slices.DeleteFunc(registered, func(i model.Instance) bool { return i.Name == r.old.Name })
 		registered = append(registered, r.old)
 	}
