SIGTERM does not end the context of a node

What callers see: crocusshore node, unlike the program daemon, ends at once at SIGTERM in about half of the stops, with all its sessions, and otherwise stops without its readers of the store: the signal also ends the context of the command line (signal.NotifyContext in commands.Run).

Test: TestSIGTERMStopsTheNodeAsPlanned; before, the first of 8 stops that ended so is reported (context canceled, exit status 1); after, 8 of 8 pass.

--- a/node/command.go
+++ b/node/command.go
@@ -44,7 +44,8 @@
 			if err != nil || c.Bool("check") {
 				return err
 			}
-			return run(ctx, signals, settings, body, c)
+			// A signal that ends the context of the program must not end the node before its sessions have ended.
+			return run(context.WithoutCancel(ctx), signals, settings, body, c)
 		},
 	}
 }
