No position is derived from a replica that holds nothing

Callers got reads that lack commits older than their route allows while the primary was unreachable: a replica had started again and was not registered anew, so its empty log counted as that of the recorded replica, and the position of a replica without the last commits seemed to cover every commit.

Change: FromReplicas returns no sample if a replica holds nothing. Not covered: one that has received a part of the log anew.

--- a/sample/replicareply.go
+++ b/sample/replicareply.go
@@ -13,7 +13,8 @@
 }
 
 // FromReplicas returns the sample that follows from the answers of all replicas of a group in a term; asOf is an instant as of which the
-// group had no other replicas. It returns false if replies is empty, or if one of the instances did not answer or is not a replica in the term.
+// group had no other replicas. It returns false if replies is empty, or if one of the instances did not answer, is not a replica in the term, or
+// holds nothing: such a replica may have started again, without the commits that it had confirmed.
 //
 // A commit is acknowledged only after one of the replicas received it. So the highest position that any of them has received covers every
 // commit that was acknowledged before the first of them was asked, even if the primary is unreachable.
@@ -23,7 +24,7 @@
 	}
 	covered := Sample{At: asOf}
 	for _, r := range replies {
-		if r.State.Role != model.RoleReplica || r.State.Term != term {
+		if r.State.Role != model.RoleReplica || r.State.Term != term || r.State.Received.Position == 0 {
 			return Sample{}, false
 		}
 		if r.At.Before(covered.At) {
--- a/sample/replicareply_test.go
+++ b/sample/replicareply_test.go
@@ -27,6 +27,7 @@
 		"one without an answer":                     {at(90), []ReplicaReply{{at(60), replica(1, 7)}, {}}, Sample{}, false},
 		"one was promoted":                          {at(90), []ReplicaReply{{at(60), replica(1, 7)}, {at(50), primary}}, Sample{}, false},
 		"one replica is in a later term":            {at(90), []ReplicaReply{{at(60), replica(1, 7)}, {at(50), replica(2, 7)}}, Sample{}, false},
+		"one holds nothing":                         {at(90), []ReplicaReply{{at(60), replica(1, 7)}, {at(50), replica(1, 0)}}, Sample{}, false},
 		"no replica":                                {at(90), nil, Sample{}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
