--- a/stand/clusterconn.go
+++ b/stand/clusterconn.go
@@ -57,8 +57,9 @@
 		return model.Reply{}, model.ErrNoAnswer
 	}
 	if !c.occupySlot(q) {
+		busy := c.fault(model.FaultBusy)
 		c.cluster.mu.Unlock()
-		return c.fault(model.FaultBusy), nil
+		return busy, nil
 	}
 	reply, wait := c.execute(q)
 	c.cluster.mu.Unlock()
