A node whose stop is late still ends within its grace period

What the platform sees: SIGKILL before the VM's row is removed, if a session stays open to the end and the store is slow. Cause: after exitMargin before SIGKILL (500 ms), the last waits sum up to 250 ms (lateMargin), 50 ms (poll) and 250 ms (removal of the row).

--- a/node/node.go
+++ b/node/node.go
@@ -36,7 +36,7 @@
 	// answerMargin is how long before that no statement runs any more, so that all sessions are answered and end.
 	answerMargin = 200 * time.Millisecond
 	// lateMargin is how much later the process exits if sessions have not ended by then, as happens when it gets no processor time.
-	lateMargin = 250 * time.Millisecond
+	lateMargin = 150 * time.Millisecond
 	// balancerLag is how long the load balancer still sends new connections to a VM that is not ready.
 	balancerLag = 2200 * time.Millisecond
 	// drainPollInterval is the interval at which a stopping process checks whether its sessions have ended.
