--- a/serve/session.go
+++ b/serve/session.go
@@ -14,7 +14,7 @@
 )
 
 // helloTimeout bounds the wait for the first message of a session.
-const helloTimeout = 5 * time.Second
+const helloTimeout = 2 * time.Second
 
 // callerSession is the server side of one caller's session.
 type callerSession struct {
