An old primary that started again is not taken for the end of the log

Callers lost acknowledged commits at a planned replacement: the old primary had started again and was not registered anew, its empty log was taken for all that there is, and a replica without the commits was promoted. Neither its role nor its position was checked.

Change: an old primary that answers and holds nothing is not handed over from, nor is one whose log is shorter at its demotion than before it; the replicas are compared instead.

Test: TestLeavingPrimaryThatStartedAgainIsNotTheEndOfTheLog; before, i-2, which holds nothing, is promoted (1 run); after, i-3 (1 run).

--- a/coord/handover.go
+++ b/coord/handover.go
@@ -53,7 +53,8 @@
 		return errKept
 	}
 	state, err := r.demote()
-	r.handedOver, r.final = err == nil, state.Received
+	r.handedOver = err == nil && !state.Received.Before(r.final)
+	r.final = state.Received
 	return nil
 }
 
@@ -76,6 +77,12 @@
 	return err == nil && state.Role == model.RolePrimary && state.Term == r.record.Term
 }
 
+// oldStartedAgain reports whether the old primary answers and holds nothing of its log any more, because it started again.
+func (r *replacement) oldStartedAgain() bool {
+	state, err := r.s.status(r.old)
+	return err == nil && state.Role != model.RolePrimary && state.Received.Position == 0
+}
+
 // awaitCaughtUp waits until a replica has the full log of the old primary, and reports whether one has.
 func (r *replacement) awaitCaughtUp(ctx context.Context) bool {
 	for until := clock.Now().Add(catchUpTimeout); clock.Now().Before(until); {
@@ -83,6 +90,7 @@
 		if err != nil {
 			return false
 		}
+		r.final = state.Received
 		if _, ok := elect.FindCaughtUp(r.callReplicas(model.InstanceConn.Status), state.Received); ok {
 			return true
 		}
--- a/coord/release.go
+++ b/coord/release.go
@@ -21,7 +21,7 @@
 		wait.Go(func() { r.pause(clock.Now()) })
 		wait.Go(func() { r.answered = r.oldKnown && !r.stuck && r.answersAsPrimary() })
 	} else {
-		r.answered = r.oldKnown
+		wait.Go(func() { r.answered = r.oldKnown && !r.oldStartedAgain() })
 	}
 	wait.Wait()
 }
--- a/coord/replace.go
+++ b/coord/replace.go
@@ -61,7 +61,7 @@
 	releases      map[model.VMID]elect.Release
 	// answered reports whether the old primary answered when its replacement was announced.
 	answered bool
-	// handedOver reports that the old primary was demoted by this run, and final is the end of its log.
+	// handedOver reports that the old primary was demoted by this run, and final is the end of its log as last observed.
 	handedOver bool
 	final      model.Mark
 	// replicas are the replicas as last observed, and pauseTriedAt is when the last attempt to pause them began.
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/stand"
 	"github.com/crocusshore/crocusshore/state"
 )
 
@@ -37,3 +38,19 @@
 	t.Logf("promoted: %s", p)
 	require.Empty(t, s.cluster.LostCommits())
 }
+
+// TestLeavingPrimaryThatStartedAgainIsNotTheEndOfTheLog guards against lost commits at a planned replacement: the old primary had started again
+// before it was registered anew, and its empty log was taken for all that there is, so that a replica without the last commits was promoted.
+func TestLeavingPrimaryThatStartedAgainIsNotTheEndOfTheLog(t *testing.T) {
+	const watched = 6 * time.Second
+	s := newSite(t, 3)
+	s.cluster.SetFaults("i-2", stand.DatabaseFaults{NoReplication: true})
+	s.commit(t, 20)
+	former := s.cluster.Instance("i-1")
+	s.cluster.Restart("i-1", time.Now())
+	s.announce(former, "draining")
+	require.Eventually(t, func() bool { p, _ := s.cluster.Primary(); return p != "" }, watched, 5*time.Millisecond)
+	p, _ := s.cluster.Primary()
+	require.Equal(t, model.InstanceName("i-3"), p)
+	require.Empty(t, s.cluster.LostCommits())
+}
