A session's connection ends before its transaction is rolled back

What callers see: a statement sent just after the idle limit of a transaction, or its end at a stop, waits for up to 300 ms (rollbackTimeout) and gets no answer. Nobody reads it: the connection stayed open while the transaction was rolled back at a silent instance.

--- a/serve/session.go
+++ b/serve/session.go
@@ -52,6 +52,7 @@
 		return
 	}
 	c.loop()
+	c.conn.Close() // Nobody reads what the caller sends while its transaction is rolled back.
 	c.endTransaction()
 }
 
