Stand: an old primary steps down for the term of the promotion

go test -race ./stand reported a data race (TestOldPrimaryStepsDownOnceItIsBack, 1 run): the term was read again after the lock was released.

--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -227,13 +227,14 @@
 	}
 	old := c.primary()
 	c.recordLostCommits(target)
-	target.term, target.instance.Role, target.pausedTerm = term+1, model.RolePrimary, 0
+	term++
+	target.term, target.instance.Role, target.pausedTerm = term, model.RolePrimary, 0
 	for _, d := range c.databases {
 		d.pausedTerm = 0
 	}
 	c.notifyChanged(target)
 	if old != nil && old != target {
-		time.AfterFunc(c.config.StepDownDelay, func() { c.stepDown(old, target.term) })
+		time.AfterFunc(c.config.StepDownDelay, func() { c.stepDown(old, term) })
 	}
 }
 
