A statement that is given up is logged with its id; names that the review stumbled over

The line "statement given up" of a stopping process now has the id of the statement, so that a request can be followed to it.

--- a/serve/owed.go
+++ b/serve/owed.go
@@ -13,21 +13,22 @@
 
 // owedAnswer tells whether a session owes its caller an answer. Either the session or a process that ends gives it, never both.
 type owedAnswer struct {
-	owed  atomic.Bool
-	kind  model.CommandKind
-	state model.TxState
+	owed atomic.Bool
+	// command is the statement, and state that of its transaction when it was read.
+	command model.Command
+	state   model.TxState
 	// given is closed once the process that ends has given the answer.
 	given chan struct{}
 }
 
 // begin records that a statement was read in a transaction state.
-func (o *owedAnswer) begin(kind model.CommandKind, state model.TxState) {
-	o.kind, o.state = kind, state
+func (o *owedAnswer) begin(command model.Command, state model.TxState) {
+	o.command, o.state = command, state
 	o.owed.Store(true)
 }
 
-// end reports whether the session gives the answer. If not, end returns once the answer is given, so that the session may close its connection.
-func (o *owedAnswer) end() bool {
+// claim reports whether the session gives the answer. If not, claim returns once the answer is given, so that the session may close its connection.
+func (o *owedAnswer) claim() bool {
 	if o.takeOver() {
 		return true
 	}
@@ -60,8 +61,9 @@
 	var answers sync.WaitGroup
 	for _, c := range s.unanswered() {
 		answers.Go(func() {
-			reply := givenUpReply(c.owed.kind, c.owed.state)
-			s.config.Log.Warn("statement given up", "kind", c.owed.kind, "fault", reply.Fault)
+			reply := givenUpReply(c.owed.command.Kind, c.owed.state)
+			s.config.Log.Warn("statement given up", "id", c.owed.command.ID, "kind", c.owed.command.Kind, "database", c.hello.Database,
+				"outcome", reply.Fault)
 			if err := c.conn.Answer(reply); err != nil {
 				s.config.Log.Debug("answer not delivered", "error", err)
 			}
--- a/serve/owed_test.go
+++ b/serve/owed_test.go
@@ -40,13 +40,13 @@
 func TestOwedAnswerIsGivenOnce(t *testing.T) {
 	o := owedAnswer{given: make(chan struct{})}
 	require.False(t, o.takeOver(), "nothing was asked")
-	o.begin(model.CommandRead, model.TxNone)
-	require.True(t, o.end())
+	o.begin(model.Command{Kind: model.CommandRead}, model.TxNone)
+	require.True(t, o.claim())
 	require.False(t, o.takeOver(), "the session gave the answer")
-	o.begin(model.CommandRead, model.TxNone)
+	o.begin(model.Command{Kind: model.CommandRead}, model.TxNone)
 	require.True(t, o.takeOver())
 	ended := make(chan bool, 1)
-	go func() { ended <- o.end() }()
+	go func() { ended <- o.claim() }()
 	select {
 	case <-ended:
 		t.Fatal("the session ends before the answer is given")
--- a/serve/session.go
+++ b/serve/session.go
@@ -89,9 +89,9 @@
 		if err != nil || command.Kind == model.CommandQuit {
 			return
 		}
-		c.owed.begin(command.Kind, c.session.State)
+		c.owed.begin(command, c.session.State)
 		reply, last := c.handle(command)
-		if !c.owed.end() {
+		if !c.owed.claim() {
 			return
 		}
 		reply = c.server.addRetryAdvice(reply)
--- a/soak/answers.go
+++ b/soak/answers.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// lossSlack is how long after the last byte of a statement a connection may end without an answer, if no instance got the statement.
-	lossSlack = 200 * time.Millisecond
+	// readSlack is how long after the last byte of a statement a connection may end without an answer, if no instance got the statement.
+	readSlack = 200 * time.Millisecond
 	// excusedAfterStop is until when after SIGTERM a statement may have been sent that is excused if its instance works on it for too long.
 	excusedAfterStop = 3 * time.Second
 	// excusedShare is the part of the grace period, its last, in which the end of the process excuses the end of such a statement.
@@ -22,8 +22,8 @@
 		sentAt time.Time
 		// arrivedAt is when it first reached an instance, and finishedAt when an instance last ended its work; zero if never.
 		arrivedAt, finishedAt time.Time
-		// brokeOff is set if an instance broke the connection off.
-		brokeOff bool
+		// connLost is set if an instance closed the connection of the statement.
+		connLost bool
 	}
 
 	// unanswered is a statement whose connection ended without a complete answer.
@@ -77,10 +77,10 @@
 // isViolation reports whether the VM owed an answer to the statement.
 func (u unanswered) isViolation(p passage) bool {
 	waited := u.endedAt.Sub(p.sentAt)
-	if waited >= routeTimeout || p.brokeOff {
+	if waited >= routeTimeout || p.connLost {
 		return false
 	}
-	if p.arrivedAt.IsZero() && waited <= lossSlack {
+	if p.arrivedAt.IsZero() && waited <= readSlack {
 		return false
 	}
 	return !u.isExcused(p)
--- a/soak/conn.go
+++ b/soak/conn.go
@@ -29,7 +29,7 @@
 	for _, q := range queries {
 		c.history.recordPassage(q.ID, func(p *passage) {
 			p.finishedAt = time.Now()
-			p.brokeOff = p.brokeOff || err != nil
+			p.connLost = p.connLost || err != nil
 		})
 	}
 	if err == nil && len(replies) > 0 && replies[len(replies)-1].State == model.TxNone {
--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -11,21 +11,21 @@
 
 // TestStatementWithoutAnswerIsAViolation violates the check of answers once for each of its conditions, and meets each exception once.
 func TestStatementWithoutAnswerIsAViolation(t *testing.T) {
-	const grace, soon, late = 6 * time.Second, lossSlack / 2, lossSlack + time.Millisecond
+	const grace, soon, late = 6 * time.Second, readSlack / 2, readSlack + time.Millisecond
 	start := time.Unix(100, 0)
 	at := start.Add
 	for name, c := range map[string]struct {
 		stopped            time.Time
 		sent, arrived, end time.Duration
 		finished           time.Time
-		brokeOff           bool
+		connLost           bool
 		violation          bool
 	}{
 		"at an instance":                              {sent: 0, arrived: 1, end: soon, violation: true},
 		"at no instance, ended late":                  {sent: 0, end: late, violation: true},
 		"at no instance, ended at once":               {sent: 0, end: soon},
 		"after the timeout of its route":              {sent: 0, arrived: 1, end: routeTimeout},
-		"its instance broke off":                      {sent: 0, arrived: 1, end: soon, brokeOff: true},
+		"its instance broke off":                      {sent: 0, arrived: 1, end: soon, connLost: true},
 		"while its VM stops":                          {stopped: start, sent: time.Second, arrived: time.Second + 1, end: time.Second + soon, finished: at(time.Second + 2), violation: true},
 		"at work at the end of the grace period":      {stopped: start, sent: excusedAfterStop, arrived: excusedAfterStop + 1, end: excusedAfterStop + late},
 		"the same, but sent too late":                 {stopped: start, sent: excusedAfterStop + 1, arrived: excusedAfterStop + 2, end: excusedAfterStop + late, violation: true},
@@ -37,7 +37,7 @@
 			h := newHistory()
 			h.recordSent("q", sentStatement{text: "READ a"})
 			h.recordPassage("q", func(p *passage) {
-				p.sentAt, p.finishedAt, p.brokeOff = at(c.sent), c.finished, c.brokeOff
+				p.sentAt, p.finishedAt, p.connLost = at(c.sent), c.finished, c.connLost
 				if c.arrived > 0 {
 					p.arrivedAt = at(c.arrived)
 				}
