--- a/commands/run.go
+++ b/commands/run.go
@@ -39,7 +39,7 @@
 		Usage: "a database proxy with session consistency",
 		Commands: []*cli.Command{
 			entryCommand(),
-			node.Command(),
+			node.Command(node.ReceiveSignals),
 			standinCommand(),
 			demoCommand(),
 			soakCommand(),
--- a/node/command.go
+++ b/node/command.go
@@ -25,8 +25,8 @@
 	metricsInterval = 2 * time.Second
 )
 
-// Command returns the command that runs the daemon.
-func Command() *cli.Command {
+// Command returns the command that runs the daemon; receive returns the signals of the process.
+func Command(receive func() Signals) *cli.Command {
 	return &cli.Command{
 		Name:  "node",
 		Usage: "run the daemon of a VM on the users' platform",
@@ -39,7 +39,7 @@
 			&cli.BoolFlag{Name: "check", Usage: "only check the settings"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			signals := ReceiveSignals()
+			signals := receive()
 			settings, body, err := platform.ReadSettings(c.String("settings"))
 			if err != nil || c.Bool("check") {
 				return err
--- a/node/signals_test.go
+++ b/node/signals_test.go
@@ -21,7 +21,7 @@
 	if path == "" {
 		return // No other test has started this process.
 	}
-	require.NoError(t, Command().Run(t.Context(), []string{"node", "--settings", path}))
+	require.NoError(t, Command(ReceiveSignals).Run(t.Context(), []string{"node", "--settings", path}))
 }
 
 // TestSignalWhileSettingsAreReadDoesNotKillTheProcess guards against a process that ends without an order to its stop, or by a mere
