--- a/soak/fault.go
+++ b/soak/fault.go
@@ -40,11 +40,16 @@
 
 // plan draws the faults of a run.
 func (i *injector) plan(length time.Duration) []fault {
+	return drawSeries(i.random, length, maxFaultInterval, i.drawFault)
+}
+
+// drawSeries draws faults of random lengths that begin at random intervals of at most maxInterval.
+func drawSeries(random *rand.Rand, length, maxInterval time.Duration, draw func() fault) []fault {
 	var plan []fault
-	for at := time.Duration(0); at < length; at += time.Duration(i.random.Int64N(int64(maxFaultInterval))) {
-		f := i.drawFault()
+	for at := time.Duration(0); at < length; at += time.Duration(random.Int64N(int64(maxInterval))) {
+		f := draw()
 		f.at = at
-		f.length = min(minFaultTime+time.Duration(i.random.Int64N(int64(maxFaultTime-minFaultTime))), length-at)
+		f.length = min(minFaultTime+time.Duration(random.Int64N(int64(maxFaultTime-minFaultTime))), length-at)
 		plan = append(plan, f)
 	}
 	return plan
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -41,13 +41,7 @@
 			next++
 		}
 	}
-	for at := time.Duration(0); at < length; at += time.Duration(p.random.Int64N(int64(maxPlannedInterval))) {
-		f := p.drawWork()
-		f.at = at
-		f.length = min(minFaultTime+time.Duration(p.random.Int64N(int64(maxFaultTime-minFaultTime))), length-at)
-		plan = append(plan, f)
-	}
-	return plan
+	return append(plan, drawSeries(p.random, length, maxPlannedInterval, p.drawWork)...)
 }
 
 func (p *planner) drawWork() fault {
