--- a/node/site_test.go
+++ b/node/site_test.go
@@ -44,6 +44,8 @@
 	replicating sync.WaitGroup
 	// connections is how many connections an instance accepts from all nodes together.
 	connections int
+	// promotions carries out the orders of the nodes.
+	promotions model.Promotions
 }
 
 // defaultSiteConnections suffices for each node to have its own connections.
@@ -62,7 +64,13 @@
 
 func openSite(t *testing.T, vms, connections int, service time.Duration) *site {
 	t.Helper()
-	s := &site{t: t, rows: stand.NewRows(), stop: make(chan struct{}), connections: connections}
+	return openSiteWith(t, vms, connections, service, nil)
+}
+
+// openSiteWith returns a site whose nodes send their orders to promotions, or to the cluster if it is nil.
+func openSiteWith(t *testing.T, vms, connections int, service time.Duration, promotions model.Promotions) *site {
+	t.Helper()
+	s := &site{t: t, rows: stand.NewRows(), stop: make(chan struct{}), connections: connections, promotions: promotions}
 	var instances []model.Instance
 	for i, name := range []string{"i-1", "i-2", "i-3"} {
 		role := model.RoleReplica
@@ -78,6 +86,9 @@
 		Group: groupName, Instances: instances, ReplicationLag: 5 * time.Millisecond, PromoteTime: 50 * time.Millisecond, StepDownDelay: 300 * time.Millisecond,
 		ServiceTime: service,
 	})
+	if s.promotions == nil {
+		s.promotions = s.cluster
+	}
 	s.cluster.OnChange(func(i model.Instance) { s.announce(i, "ready") })
 	s.putSettings(1, `"key-1"`)
 	for _, i := range instances {
@@ -145,7 +156,7 @@
 			VM: model.VMID(name), Domain: model.Domain(string(rune('a' + i%3))), Address: address, Callers: at(callersPort), Ready: at(readyPort),
 			Peers: at(peersPort), FirstPort: firstPort, Grace: 3 * time.Second, RateSlack: 20,
 		},
-		Dialer: s.cluster, OpenRows: func() model.RowStore { return s.rows.Client(name) }, Promotions: s.cluster,
+		Dialer: s.cluster, OpenRows: func() model.RowStore { return s.rows.Client(name) }, Promotions: s.promotions,
 		Log: log.New(io.Discard), Scope: tally.NoopScope, Metrics: at(metricsTestPort), MetricsHandler: http.NotFoundHandler(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
