--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -198,7 +198,12 @@
 
 // Promote makes an instance the primary of a new term after PromoteTime. An order under an older fencing token is recorded as a violation
 // and carried out nevertheless. Promote returns model.ErrConflict if the target is unknown or down.
-func (c *Cluster) Promote(_ context.Context, order model.PromoteOrder) error {
+func (c *Cluster) Promote(ctx context.Context, order model.PromoteOrder) error {
+	return c.promote(ctx, order, func(time.Time) {})
+}
+
+// promote is Promote; it calls carriedOut, in a goroutine of its own, once the promotion has taken effect.
+func (c *Cluster) promote(_ context.Context, order model.PromoteOrder, carriedOut func(time.Time)) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if order.Fence < c.fencingToken {
@@ -212,7 +217,10 @@
 	if target.instance.Role == model.RolePrimary && target == c.primary() {
 		return nil
 	}
-	time.AfterFunc(c.config.PromoteTime, func() { c.becomePrimary(target) })
+	time.AfterFunc(c.config.PromoteTime, func() {
+		c.becomePrimary(target)
+		carriedOut(time.Now())
+	})
 	return nil
 }
 
