Soak: faults of the promotion service, and its orders checked over all groups

Orders were carried out at once, on the path to the store, and their tokens were checked for each group. The promotion service has an own listener and an own proxy for each VM now.

--- a/soak/audit_test.go
+++ b/soak/audit_test.go
@@ -49,7 +49,7 @@
 				_, err := conn.Exchange(time.Now().Add(time.Second), model.Query{ID: "w", Text: "WRITE item 1"})
 				require.NoError(t, err)
 			}
-			s := &site{history: newHistory(), clusters: []*stand.Cluster{cluster}}
+			s := &site{history: newHistory(), clusters: []*stand.Cluster{cluster}, orders: stand.NewOrders(1)}
 			s.history.recordWrite("item", "w", "1")
 			s.history.recordOutcome("item", "w", c.outcome)
 			s.audit()
@@ -85,7 +85,7 @@
 		require.NoError(t, err)
 		require.NoError(t, cluster.Promote(t.Context(), model.PromoteOrder{Group: "g", Target: "i-3", Fence: 1}))
 		require.Eventually(t, func() bool { name, _ := cluster.Primary(); return name == "i-3" }, time.Second, time.Millisecond)
-		s := &site{history: newHistory(), clusters: []*stand.Cluster{cluster}}
+		s := &site{history: newHistory(), clusters: []*stand.Cluster{cluster}, orders: stand.NewOrders(1)}
 		s.history.recordWrite("item", "w", "1")
 		s.history.recordOutcome("item", "w", answered)
 		s.history.mu.Lock()
--- a/soak/config.go
+++ b/soak/config.go
@@ -27,6 +27,8 @@
 	VMs, Groups, Sessions int
 	// For is how long faults are injected.
 	For time.Duration
+	// OrderFaults adds faults of the promotion service and of the paths to it, beside the other faults.
+	OrderFaults bool
 	// PlannedOnly replaces the faults by planned work: restarts, Together VMs at a time, and changes of settings.
 	PlannedOnly bool
 	Together    int
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -195,7 +195,7 @@
 
 func (i *injector) storeLink() fault {
 	vm := i.drawVM()
-	return i.linkFault(fmt.Sprintf("way of vm-%d to the store", vm), []*Proxy{i.site.storeProxies[vm]})
+	return i.linkFault(fmt.Sprintf("way of vm-%d to the platform", vm), []*Proxy{i.site.storeProxies[vm], i.site.orderProxies[vm]})
 }
 
 func (i *injector) instanceLink() fault {
@@ -204,14 +204,14 @@
 	return i.linkFault(fmt.Sprintf("way of failure domain %s to %s", domainName(d), instance), []*Proxy{i.site.instanceProxies[d][instance]})
 }
 
-// isolateDomainFault applies one link fault to three kinds of paths: from the VMs of a failure domain to the store, from these VMs to
+// isolateDomainFault applies one link fault to three kinds of paths: from the VMs of a failure domain to the platform, from these VMs to
 // the instances of other domains, and from the VMs of other domains to the domain's instances. Paths between VMs stay as they are.
 func (i *injector) isolateDomainFault() fault {
 	isolated := i.random.IntN(domainCount)
 	var proxies []*Proxy
 	for vm, proxy := range i.site.storeProxies {
 		if vm%domainCount == isolated {
-			proxies = append(proxies, proxy)
+			proxies = append(proxies, proxy, i.site.orderProxies[vm])
 		}
 	}
 	for d, links := range i.site.instanceProxies {
--- a/soak/run.go
+++ b/soak/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -71,6 +72,7 @@
 	close(stop)
 	callers.Wait()
 	s.revokeKey(ctx)
+	s.awaitOrders()
 	s.awaitPrimaries(ctx)
 	time.Sleep(replicationWait)
 	s.audit()
@@ -83,7 +85,13 @@
 	if s.config.PlannedOnly {
 		return (&planner{site: s, random: random}).plan(s.config.For)
 	}
-	return (&injector{site: s, random: random}).plan(s.config.For)
+	plan := (&injector{site: s, random: random}).plan(s.config.For)
+	if s.config.OrderFaults {
+		orders := &injector{site: s, random: rand.New(rand.NewPCG(s.config.Seed, orderFaultStream))}
+		plan = append(plan, orders.planOrderFaults(s.config.For)...)
+		sort.SliceStable(plan, func(a, b int) bool { return plan[a].at < plan[b].at })
+	}
+	return plan
 }
 
 func (s *site) newCaller(n int) *caller {
@@ -127,7 +135,9 @@
 // endFaults removes all faults of the store, the network and the instances that are still active.
 func (s *site) endFaults() {
 	s.rows.SetFaults(stand.RowsFaults{})
-	for _, proxy := range s.storeProxies {
+	s.orders.SetFaults(stand.OrderFaults{})
+	s.orderDoor.shut.Store(false)
+	for _, proxy := range slices.Concat(s.storeProxies, s.orderProxies) {
 		proxy.Set(LinkFaults{})
 	}
 	for _, links := range s.instanceProxies {
@@ -170,6 +180,9 @@
 		}
 		vm.mu.Unlock()
 	}
+	for _, violation := range s.orders.Violations() {
+		s.history.addViolation("one: %s", violation)
+	}
 	for _, cluster := range s.clusters {
 		for _, violation := range cluster.OrderViolations() {
 			s.history.addViolation("cluster: %s", violation)
--- a/soak/site.go
+++ b/soak/site.go
@@ -7,11 +7,10 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/platform"
 	"github.com/crocusshore/crocusshore/stand"
@@ -31,8 +30,10 @@
 	// rateSlack is how many operations of a team beyond its rate and burst all VMs together may admit in a window.
 	rateSlack = 20
 	// openTimeout bounds dialing an instance and reading a header.
-	openTimeout    = 3 * time.Second
-	replicationLag = 8 * time.Millisecond
+	openTimeout = 3 * time.Second
+	// orderReadTimeout bounds reading the header of an order; it exceeds the longest fault of a path, which delivers the order at its end.
+	orderReadTimeout = 20 * time.Second
+	replicationLag   = 8 * time.Millisecond
 )
 
 // site holds the VMs' processes, the stand-ins of the platform and the databases, and a proxy on each path from a VM to the store and
@@ -42,11 +43,16 @@
 	history  *history
 	rows     *stand.Rows
 	clusters []*stand.Cluster
+	// orders takes the orders for new primaries of all groups, and orderDoor accepts the connections to it.
+	orders    *stand.Orders
+	orderDoor *door
 	// instances holds the instances of all clusters, with the addresses that the proxies connect to.
 	instances []model.Instance
 	vms       []*process
-	// storeProxies holds the path of each VM to the store, and instanceProxies the path of each failure domain to each instance.
+	// storeProxies and orderProxies hold the paths of each VM to the store and to the promotion service, and instanceProxies the path of each
+	// failure domain to each instance.
 	storeProxies    []*Proxy
+	orderProxies    []*Proxy
 	instanceProxies [domainCount]map[model.InstanceName]*Proxy
 	servers         []*http.Server
 	listeners       []net.Listener
@@ -67,8 +73,11 @@
 
 // newSite starts a site. The result is never nil and has to be closed even after an error.
 func newSite(config Config) (*site, error) {
-	s := &site{config: config, history: newHistory(), rows: stand.NewRows()}
+	s := &site{config: config, history: newHistory(), rows: stand.NewRows(), orders: stand.NewOrders(config.Seed)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	if err := s.serveOrders(); err != nil {
+		return s, err
+	}
 	for d := range s.instanceProxies {
 		s.instanceProxies[d] = map[model.InstanceName]*Proxy{}
 	}
@@ -106,6 +115,7 @@
 	})
 	cluster.OnChange(func(i model.Instance) { s.register(i) })
 	s.clusters = append(s.clusters, cluster)
+	s.orders.Add(cluster)
 	go s.replicate(cluster)
 	for _, i := range members {
 		if err := s.addInstance(cluster, i); err != nil {
@@ -195,7 +205,7 @@
 	}
 	name := fmt.Sprintf("vm-%d", i)
 	rows := &domainStore{store: s.rows.Client(name), proxies: s.instanceProxies[i%domainCount]}
-	server := &http.Server{Handler: platform.NewStandInHandler(rows, s), ReadHeaderTimeout: openTimeout}
+	server := &http.Server{Handler: platform.NewStandInHandler(rows, s.orders), ReadHeaderTimeout: openTimeout}
 	go func() { _ = server.Serve(listener) }() // It ends when it is closed.
 	s.servers = append(s.servers, server)
 	proxy, err := NewProxy(listener.Addr().String())
@@ -203,11 +213,16 @@
 		return err
 	}
 	s.storeProxies = append(s.storeProxies, proxy)
+	orders, err := NewProxy(s.orderDoor.Addr().String())
+	if err != nil {
+		return err
+	}
+	s.orderProxies = append(s.orderProxies, orders)
 	address := newAddress()
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(address, port) }
 	vm, err := newProcess(s.config.Program, s.config.Dir, platform.Settings{
 		VM: model.VMID(name), Domain: domainName(i), Address: address, Callers: at(callersPort), Ready: at(readyPort), Peers: at(peersPort),
-		FirstPort: firstPort, LastPort: lastPort, Store: proxy.Address(), Promotions: proxy.Address(), Heartbeat: time.Second, Grace: s.config.grace(),
+		FirstPort: firstPort, LastPort: lastPort, Store: proxy.Address(), Promotions: orders.Address(), Heartbeat: time.Second, Grace: s.config.grace(),
 		RateSlack: rateSlack, MemoryLimit: 128 << 20,
 	})
 	if err != nil {
@@ -218,14 +233,17 @@
 	return nil
 }
 
-// Promote passes an order to the cluster of its group.
-func (s *site) Promote(ctx context.Context, order model.PromoteOrder) error {
-	for g, cluster := range s.clusters {
-		if groupName(g) == order.Group {
-			return cluster.Promote(ctx, order)
-		}
+// serveOrders serves the promotion service at a door of its own.
+func (s *site) serveOrders() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
 	}
-	return errors.Newf("group %s is unknown", order.Group)
+	s.orderDoor = newDoor(listener)
+	server := &http.Server{Handler: platform.NewStandInHandler(s.rows.Client("orders"), s.orders), ReadHeaderTimeout: orderReadTimeout}
+	go func() { _ = server.Serve(s.orderDoor) }() // It ends when it is closed.
+	s.servers = append(s.servers, server)
+	return nil
 }
 
 func (s *site) close() {
@@ -239,7 +257,7 @@
 	for _, listener := range s.listeners {
 		_ = listener.Close()
 	}
-	for _, proxy := range s.storeProxies {
+	for _, proxy := range slices.Concat(s.storeProxies, s.orderProxies) {
 		proxy.Close()
 	}
 	for _, links := range s.instanceProxies {
