Stand-in: a commit that no instance holds is not acknowledged

Cause: the stand-in. A commit that no replica had received waits at an old primary. The old primary becomes a replica of the new one and takes its term. The check of the acknowledgement compared the end of any log of the term with the position of the commit, and the new primary's log reached further with other commits. The VM answered its caller that the outcome is unknown, since its lease is of the old term. Ruled out for this failure: the choice of the target, a RESUME, a replica's restart. All replicas were paused and the promoted one had all commits that a replica had received. Change: a commit is acknowledged once another instance of the term holds this very commit. The check of promotions is as strict as before: each commit that another instance received while its statement waits still counts, whether or not the caller was told.

--- a/stand/cluster_test.go
+++ b/stand/cluster_test.go
@@ -115,3 +115,36 @@
 	c.SetFaults("a", DatabaseFaults{})
 	require.Eventually(t, func() bool { return c.Instance("a").Role == model.RoleReplica }, time.Second, time.Millisecond)
 }
+
+// TestCommitThatAPromotionRemovedIsNotAcknowledged guards against a check that counts a commit that no instance holds as lost. A commit that no
+// replica had received waited at the old primary. The old primary became a replica of the new one, whose log reached further, and
+// acknowledged the commit.
+func TestCommitThatAPromotionRemovedIsNotAcknowledged(t *testing.T) {
+	c, instances := newTestCluster()
+	c.SetFaults("b", DatabaseFaults{NoReplication: true})
+	c.SetFaults("c", DatabaseFaults{NoReplication: true})
+	old, err := c.Dial(time.Now().Add(time.Second), instances[0], "team")
+	require.NoError(t, err)
+	defer old.Close()
+	done := make(chan error, 1)
+	go func() {
+		_, err := old.Exchange(time.Now().Add(200*time.Millisecond), model.Query{ID: "removed", Text: "WRITE item x"})
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return c.CommitCount("removed") == 1 }, time.Second, time.Millisecond)
+	c.becomePrimary(c.databases["b"])
+	require.Eventually(t, func() bool { return c.Instance("a").Role == model.RoleReplica }, time.Second, time.Millisecond)
+	promoted, err := c.Dial(time.Now().Add(time.Second), instances[1], "team")
+	require.NoError(t, err)
+	defer promoted.Close()
+	go func() {
+		_, _ = promoted.Exchange(time.Now().Add(time.Second), model.Query{ID: "next", Text: "WRITE item y"})
+	}()
+	require.Eventually(t, func() bool {
+		c.Replicate(time.Now())
+		return len(done) > 0
+	}, time.Second, time.Millisecond)
+	require.Error(t, <-done, "no instance holds the commit any more")
+	c.becomePrimary(c.databases["c"])
+	require.NotContains(t, c.LostCommits(), model.RequestID("removed"))
+}
--- a/stand/clusterconn.go
+++ b/stand/clusterconn.go
@@ -89,7 +89,7 @@
 	return true
 }
 
-// awaitReplication waits until a replica of the same term has received a commit, and records that it is acknowledged. It returns false
+// awaitReplication waits until another instance of the same term holds a commit, and records that it is acknowledged. It returns false
 // if the deadline comes first, the connection breaks or the instance becomes unresponsive.
 func (c *clusterConn) awaitReplication(deadline time.Time, mark model.Mark, id model.RequestID) bool {
 	for time.Now().Before(deadline) {
@@ -99,7 +99,7 @@
 			return false
 		}
 		for _, d := range c.cluster.databases {
-			if d != c.database && d.term == c.database.term && !d.end().Before(mark) {
+			if d != c.database && d.term == c.database.term && d.holds(mark) {
 				c.cluster.acked[id] = mark
 				c.cluster.mu.Unlock()
 				return true
@@ -111,6 +111,12 @@
 	return false
 }
 
+// holds reports whether the log holds the commit at a position. A log that reaches further may hold another commit there.
+func (d *database) holds(mark model.Mark) bool {
+	at := int(mark.Position) - 1
+	return at < len(d.log) && d.log[at].mark == mark
+}
+
 // execute runs one query under the lock. It also returns the position that a replica has to receive before the answer is sent, if any.
 func (c *clusterConn) execute(q model.Query) (model.Reply, model.Mark) {
 	d := c.database
