--- a/stand/clusterconn.go
+++ b/stand/clusterconn.go
@@ -99,7 +99,7 @@
 			return false
 		}
 		for _, d := range c.cluster.databases {
-			if d != c.database && d.term == c.database.term && d.holds(mark) {
+			if d != c.database && d.term == c.database.term && d.log.holds(mark) {
 				c.cluster.acked[id] = mark
 				c.cluster.mu.Unlock()
 				return true
@@ -111,12 +111,6 @@
 	return false
 }
 
-// holds reports whether the log holds the commit at a position. A log that reaches further may hold another commit there.
-func (d *database) holds(mark model.Mark) bool {
-	at := int(mark.Position) - 1
-	return at < len(d.log) && d.log[at].mark == mark
-}
-
 // execute runs one query under the lock. It also returns the position that a replica has to receive before the answer is sent, if any.
 func (c *clusterConn) execute(q model.Query) (model.Reply, model.Mark) {
 	d := c.database
