An order for a new primary never outlives its sender's right

Cause: an order takes effect whenever it arrives, and nothing at the platform refuses it. Its sender gave it up after 1 s and its lease after 2.5 s more; the next VM claimed the lease at once, or after 1.3 s if the sender's process had ended, and ordered under a higher token. Closing a connection does not take back what kernels and the platform hold. Change: each order is recorded in the row of the lease before it is sent, by the call that renews the lease. It is sent by an instant that follows from that renewal, checked at the write itself, or not at all. Its connection stays open until the answer; the lease is kept until the order is answered, seen to be carried out, or 10 s old. Another VM waits until the row is unchanged for 14.5 s, unless the target of each order shows that it was promoted. While an order may be under way only the same target is ordered again. The token stays the same while the holder does, so that no order of its own is late under an older one.

--- a/coord/lease.go
+++ b/coord/lease.go
@@ -14,7 +14,11 @@
 	"github.com/crocusshore/crocusshore/state"
 )
 
-var errLeaseHeld = errors.New("another VM holds the coordinator lease")
+var (
+	errLeaseHeld = errors.New("another VM holds the coordinator lease")
+	// errOrderPending reports that an order of the last holder may still be under way.
+	errOrderPending = errors.Wrap(errLeaseHeld, "an order of the last holder may still be under way")
+)
 
 // coordinatorLease is this VM's side of the coordinator lease, the right to order new primaries. One VM at a time holds it, through a
 // row of the store.
@@ -29,8 +33,13 @@
 	// held is the row as this VM last wrote it, and claimedAt when the claim or renewal was sent.
 	held      state.CoordinatorLease
 	claimedAt time.Time
-	// users counts the claims that have not been undone by giveUp or dropUser.
+	// users counts the claims that have not been undone by giveUp or dropUser, and the orders that may be under way.
 	users int
+	// orders are this process's orders that may be under way, by the number under which they were recorded.
+	orders     map[int]pendingOrder
+	orderCount int
+	// settledVersion is the version of the row whose orders are known to have been carried out.
+	settledVersion int64
 	// observedVersion is the last observed version of the row, and unchangedSince since when it has not changed.
 	observedVersion int64
 	unchangedSince  time.Time
@@ -58,28 +67,46 @@
 	defer l.mu.Unlock()
 	now := clock.Now()
 	row := l.observeLocked(now)
-	own := l.held.Fence > 0 && l.held.Version == row.Version
-	if own && elect.MayOrder(now, l.claimedAt) {
+	if l.held.Version > row.Version {
+		row = l.held // The cache does not have the last write of this process yet.
+	}
+	own := l.isOwn(row)
+	if own && row.Version == l.held.Version && elect.MayOrder(now, l.claimedAt) {
 		l.users++
 		return l.held, nil
 	}
 	wanted := elect.LeaseClaim{
-		Released: row.Released || row.Version == 0, HeldHere: own, HolderEnded: holderEnded(l.cache.Snapshot(), row), UnchangedSince: l.unchangedSince,
+		Released: row.Released || row.Version == 0, HeldHere: own, HolderEnded: holderEnded(l.cache.Snapshot(), row),
+		OrderPending: len(row.Orders) > 0 && row.Version != l.settledVersion, UnchangedSince: l.unchangedSince,
 	}
 	if !elect.MayClaim(now, wanted) {
+		if wanted.OrderPending {
+			return state.CoordinatorLease{}, errOrderPending
+		}
 		return state.CoordinatorLease{}, errLeaseHeld
 	}
-	next := state.CoordinatorLease{Holder: l.self, Boot: l.boot, Fence: row.Fence + 1, Version: row.Version}
-	if own && elect.MayUse(now, l.claimedAt) && !row.Released {
-		next.Fence, next.Renewals = row.Fence, row.Renewals+1
-	}
-	if err := l.write(ctx, now, next); err != nil {
+	if err := l.write(ctx, now, l.next(row)); err != nil {
 		return state.CoordinatorLease{}, err
 	}
 	l.users++
 	return l.held, nil
 }
 
+// isOwn reports whether this process wrote the row and has not given the lease up, even if the answer to the write was lost.
+func (l *coordinatorLease) isOwn(row state.CoordinatorLease) bool {
+	return row.Fence > 0 && !row.Released && row.Holder == l.self && row.Boot == l.boot
+}
+
+// next returns the row of the next claim or renewal. The token stays the same as long as no other process held the lease in between, so that an
+// order of this process which is late does not come under an older token.
+func (l *coordinatorLease) next(row state.CoordinatorLease) state.CoordinatorLease {
+	next := state.CoordinatorLease{Holder: l.self, Boot: l.boot, Fence: row.Fence + 1, Version: row.Version, Orders: l.pending()}
+	if l.isOwn(row) {
+		next.Fence, next.Renewals = row.Fence, row.Renewals+1
+	}
+	return next
+}
+
 // holderEnded reports whether the process that holds the lease has ended: its VM has registered another process since.
 func holderEnded(s *state.Snapshot, row state.CoordinatorLease) bool {
 	vm, known := s.VMs[row.Holder]
@@ -103,7 +130,7 @@
 	}
 	next.Version = version
 	l.held, l.claimedAt = next, claimedAt
-	l.log.Info("coordinator lease written", "fence", next.Fence, "renewals", next.Renewals, "released", next.Released, "row-version", version)
+	l.log.Info("coordinator lease written", "fence", next.Fence, "renewals", next.Renewals, "released", next.Released, "orders", next.Orders, "row-version", version)
 	return nil
 }
 
@@ -154,7 +181,7 @@
 		return
 	}
 	next := l.held
-	next.Released = true
+	next.Released, next.Orders = true, nil
 	if err := l.write(ctx, l.claimedAt, next); err != nil {
 		l.log.Warn("coordinator lease not given up; it will expire", "fence", next.Fence, "error", err)
 		l.held = state.CoordinatorLease{}
--- /dev/null
+++ b/coord/orders.go
@@ -0,0 +1,146 @@
+package coord
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/elect"
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/state"
+)
+
+type (
+	// pendingOrder is an order of this process that may be under way. carriedOut ends the wait for its answer.
+	pendingOrder struct {
+		state.SentOrder
+		carriedOut context.CancelFunc
+	}
+
+	// recordedOrder is the permission to send an order once, until an instant. The context ends when nothing of the order can be under way any more.
+	recordedOrder struct {
+		number int
+		sendBy time.Time
+		ctx    context.Context
+	}
+)
+
+// recordOrder records an order under a fencing token in the row of the lease, which renews the lease. From then on no other VM claims the lease
+// before the order is settled or has outlived its lifetime. Every successful call must be followed by a call of settle.
+func (l *coordinatorLease) recordOrder(ctx context.Context, fence int64, order state.SentOrder) (recordedOrder, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held.Fence != fence || l.held.Released {
+		return recordedOrder{}, errors.Wrap(errLeaseHeld, "the lease was lost")
+	}
+	if l.orders == nil {
+		l.orders = map[int]pendingOrder{}
+	}
+	l.orderCount++
+	recorded := recordedOrder{number: l.orderCount}
+	l.orders[recorded.number] = pendingOrder{SentOrder: order}
+	now := clock.Now()
+	if err := l.write(ctx, now, l.next(l.held)); err != nil {
+		delete(l.orders, recorded.number)
+		return recordedOrder{}, err
+	}
+	recorded.sendBy = elect.SendBy(now)
+	lifetime := recorded.sendBy.Add(elect.OrderLifetime).Sub(clock.Now())
+	var carriedOut context.CancelFunc
+	recorded.ctx, carriedOut = context.WithTimeout(context.WithoutCancel(ctx), lifetime)
+	l.orders[recorded.number] = pendingOrder{SentOrder: order, carriedOut: carriedOut}
+	l.users++
+	return recorded, nil
+}
+
+// settle records that an order was carried out, was not sent, or has outlived its lifetime. The lease is given up if nothing else uses it.
+func (l *coordinatorLease) settle(order recordedOrder) {
+	l.mu.Lock()
+	l.orders[order.number].carriedOut()
+	delete(l.orders, order.number)
+	l.mu.Unlock()
+	l.giveUp(context.WithoutCancel(order.ctx))
+}
+
+// recordCarriedOut records that an order of this process for a group was carried out. If several orders for the group may be under way, all
+// but one of them still may.
+func (l *coordinatorLease) recordCarriedOut(group model.GroupName) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []pendingOrder
+	for _, order := range l.orders {
+		if order.Group == group {
+			found = append(found, order)
+		}
+	}
+	if len(found) == 1 {
+		found[0].carriedOut()
+	}
+}
+
+// pending returns the orders of this process that may be under way, in the order of their recording; the caller holds the lock.
+func (l *coordinatorLease) pending() []state.SentOrder {
+	orders := make([]state.SentOrder, 0, len(l.orders))
+	for _, number := range slices.Sorted(maps.Keys(l.orders)) {
+		orders = append(orders, l.orders[number].SentOrder)
+	}
+	return orders
+}
+
+// isPending reports whether an order of this process for a group may be under way.
+func (l *coordinatorLease) isPending(group model.GroupName) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(l.pending(), func(o state.SentOrder) bool { return o.Group == group })
+}
+
+// recordSettled records that the orders in the row of a version were carried out.
+func (l *coordinatorLease) recordSettled(version int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settledVersion = version
+}
+
+// settleLater settles an unanswered order once it is known to be carried out or has outlived its lifetime.
+func (s *Supervisor) settleLater(order recordedOrder) {
+	<-order.ctx.Done()
+	s.config.Log.Info("order settled without an answer", "order", order.number, "carried-out", errors.Is(order.ctx.Err(), context.Canceled))
+	s.lease.settle(order)
+}
+
+// claimLease claims the coordinator lease. If orders of its last holder may be under way, it first looks whether they were carried out.
+func (s *Supervisor) claimLease(ctx context.Context) (state.CoordinatorLease, error) {
+	lease, err := s.lease.claim(ctx)
+	if !errors.Is(err, errOrderPending) {
+		return lease, err
+	}
+	row := s.config.Cache.Snapshot().Coordinator
+	if !s.carriedOut(row.Orders) {
+		return lease, err
+	}
+	s.config.Log.Info("orders of another holder were carried out", "holder", row.Holder, "fence", row.Fence, "orders", row.Orders)
+	s.lease.recordSettled(row.Version)
+	return s.lease.claim(ctx)
+}
+
+// carriedOut reports whether the instances show that every order was carried out. A repeated order may be under way although one was carried
+// out, and the end of a pause does not show which order ended it.
+func (s *Supervisor) carriedOut(orders []state.SentOrder) bool {
+	groups := map[model.GroupName]bool{}
+	for _, order := range orders {
+		target, registered := s.config.Cache.Snapshot().Instances[order.Target]
+		if order.Kind != state.OrderPromote || groups[order.Group] || !registered {
+			return false
+		}
+		groups[order.Group] = true
+		reported, err := s.status(target)
+		if err != nil || reported.Role != model.RolePrimary || reported.Term < order.Term {
+			return false
+		}
+	}
+	return true
+}
--- a/coord/promote.go
+++ b/coord/promote.go
@@ -12,22 +12,89 @@
 	"github.com/crocusshore/crocusshore/state"
 )
 
-// promote orders the promotion of the target through the platform, under the fencing token of the coordinator lease.
-func (r *replacement) promote(ctx context.Context, target model.Instance) error {
-	if err := r.renew(ctx); err != nil {
+// answerTimeout bounds the wait for the answer to an order before the instance is asked whether it was promoted.
+const answerTimeout = time.Second
+
+// promote orders the promotion of the target through the platform, under the fencing token of the coordinator lease, and returns the term of the
+// new primary. While an order may be under way, only the same target is ordered again: another one could lose what the first acknowledges.
+func (r *replacement) promote(ctx context.Context, target model.Instance) (model.Term, error) {
+	for {
+		if err := r.order(ctx, target); err != nil {
+			return 0, errors.Wrap(err, "promoting")
+		}
+		term, err := r.awaitPromotion(ctx, target)
+		if err == nil {
+			r.s.lease.recordCarriedOut(r.group)
+			return term, nil
+		}
+		if ctx.Err() != nil || !r.s.lease.isPending(r.group) || !r.isUnchanged(target) {
+			return 0, err
+		}
+	}
+}
+
+// order records and sends one order. It returns nil if the order may have been carried out; the status of the target will show it.
+func (r *replacement) order(ctx context.Context, target model.Instance) error {
+	recorded, err := r.s.lease.recordOrder(ctx, r.lease.Fence, state.SentOrder{
+		Group: r.group, Kind: state.OrderPromote, Target: target.Name, Term: r.record.Next.Term,
+	})
+	if err != nil {
 		return err
 	}
-	if !r.s.lease.mayOrder(clock.Now(), r.lease.Fence) {
-		return errors.New("too little time is left of the coordinator lease")
+	answer := make(chan error, 1)
+	go func() { answer <- r.send(recorded, target) }()
+	select {
+	case err := <-answer:
+		if errors.Is(err, model.ErrUncertain) {
+			return nil
+		}
+		return err
+	case <-time.After(answerTimeout):
+		return nil
 	}
-	err := r.s.config.Promotions.Promote(ctx, model.PromoteOrder{Group: r.group, Target: target.Name, Holder: r.s.config.Self, Fence: r.lease.Fence})
-	r.s.config.Log.Info("promotion ordered", "group", r.group, "instance", target.Name, "fence", r.lease.Fence, "error", err)
-	if errors.Is(err, model.ErrUncertain) {
-		return nil // The status of the instance will show whether it was promoted.
+}
+
+// send sends a recorded order and returns its outcome. An order whose answer is lost is settled in the background, once it is known to be
+// carried out or has outlived its lifetime.
+func (r *replacement) send(recorded recordedOrder, target model.Instance) error {
+	sentAt := clock.Now()
+	err := r.s.config.Promotions.Promote(recorded.ctx, model.PromoteOrder{
+		Group: r.group, Target: target.Name, Holder: r.s.config.Self, Fence: r.lease.Fence, SendBy: recorded.sendBy,
+	})
+	r.s.config.Log.Info("promotion ordered", "group", r.group, "instance", target.Name, "fence", r.lease.Fence, "order", recorded.number,
+		"after", clock.Now().Sub(sentAt), "error", err)
+	if !errors.Is(err, model.ErrUncertain) {
+		r.s.lease.settle(recorded)
+		return err
 	}
+	go r.s.settleLater(recorded)
 	return err
 }
 
+// isUnchanged reports whether the target still holds what it held when it was chosen: it has neither started again nor lost its pause.
+func (r *replacement) isUnchanged(target model.Instance) bool {
+	reported, err := r.s.status(target)
+	if err != nil {
+		return false
+	}
+	return reported.Held >= r.record.Next.Term || (r.handedOver && !reported.Received.Before(r.final))
+}
+
+// awaitOrders waits until no order for the group can be under way, or the target of one has been promoted. An order takes effect whenever it
+// arrives: a promotion would remove what another primary acknowledged meanwhile, and the end of a pause what replicas confirmed after they
+// were compared.
+func (r *replacement) awaitOrders(ctx context.Context) error {
+	for r.s.lease.isPending(r.group) {
+		if _, _, found := r.findPromoted(); found {
+			return nil
+		}
+		if !retry.Sleep(ctx, retryInterval) {
+			return errors.New("an order for the group may still be under way")
+		}
+	}
+	return nil
+}
+
 // renew renews the coordinator lease if too little time is left to send an order.
 func (r *replacement) renew(ctx context.Context) error {
 	if r.s.lease.mayOrder(clock.Now(), r.lease.Fence) {
--- a/coord/replace.go
+++ b/coord/replace.go
@@ -86,7 +86,7 @@
 		}
 		stuck = verdict == elect.VerdictStuck
 	}
-	lease, err := s.lease.claim(ctx)
+	lease, err := s.claimLease(ctx)
 	if err != nil {
 		return err
 	}
@@ -114,7 +114,11 @@
 		return errors.Wrap(err, "announcing the replacement")
 	}
 	r.revokeLeases(ctx)
+	if err := r.awaitOrders(ctx); err != nil {
+		return err
+	}
 	if target, term, found := r.findPromoted(); found {
+		r.s.lease.recordCarriedOut(r.group)
 		return r.complete(ctx, target, term)
 	}
 	target, err := r.choose(ctx)
@@ -124,10 +128,7 @@
 	if err != nil {
 		return err
 	}
-	if err := r.promote(ctx, target); err != nil {
-		return errors.Wrap(err, "promoting")
-	}
-	term, err := r.awaitPromotion(ctx, target)
+	term, err := r.promote(ctx, target)
 	if err != nil {
 		return err
 	}
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -189,6 +189,22 @@
 	require.True(t, MayClaim(now, LeaseClaim{HeldHere: true, UnchangedSince: now}))
 }
 
+// TestLeaseIsNotClaimedWhileAnOrderMayArrive checks all instants at which an order under a lease may be carried out. It guards against an older
+// token after a newer one.
+func TestLeaseIsNotClaimedWhileAnOrderMayArrive(t *testing.T) {
+	recordedAt := now
+	for _, ended := range []bool{false, true} {
+		for sent := time.Duration(0); MayOrder(recordedAt.Add(sent), recordedAt); sent += 100 * time.Millisecond {
+			for age := time.Duration(0); age <= OrderLifetime; age += 100 * time.Millisecond {
+				claim := LeaseClaim{OrderPending: true, HolderEnded: ended, UnchangedSince: recordedAt}
+				require.False(t, MayClaim(recordedAt.Add(sent+age), claim), "sent after %s, carried out after %s more", sent, age)
+			}
+		}
+	}
+	claim := LeaseClaim{OrderPending: true, UnchangedSince: recordedAt}
+	require.True(t, MayClaim(recordedAt.Add(pendingOrderDelay), claim))
+}
+
 func TestLeaseOfEndedProcessCanBeClaimedAfterItsLastOrder(t *testing.T) {
 	now := time.Unix(100, 0)
 	ended := LeaseClaim{HolderEnded: true, UnchangedSince: now}
--- a/elect/lease.go
+++ b/elect/lease.go
@@ -5,10 +5,16 @@
 const (
 	// coordinatorTTL bounds the use of the coordinator lease, counted from the sending of the claim or renewal.
 	coordinatorTTL = 4500 * time.Millisecond
-	// takeoverDelay is how long the lease must be unchanged before another VM claims it; it exceeds coordinatorTTL and the longest order.
+	// takeoverDelay is how long the lease must be unchanged before another VM claims it, if no order may be under way; it exceeds coordinatorTTL.
 	takeoverDelay = 6 * time.Second
-	// minOrderTime is the time that must be left of the lease when an order for a new primary is sent; it covers the longest order.
+	// minOrderTime is the time that must be left of the lease when an order is sent, and how long the lease of a process that has ended is left alone.
 	minOrderTime = 1300 * time.Millisecond
+	// OrderLifetime is how long after its sending an order that was not answered may still be carried out: it may lie in the queues of both
+	// kernels and of the platform.
+	OrderLifetime = 10 * time.Second
+	// pendingOrderDelay is how long a lease with an order that may be under way must be unchanged before another VM claims it: the last order under
+	// it is sent within coordinatorTTL of the row's last change.
+	pendingOrderDelay = coordinatorTTL + OrderLifetime
 )
 
 // LeaseClaim is the state of the coordinator lease as observed by a VM that wants to claim it.
@@ -17,6 +23,9 @@
 	Released, HeldHere bool
 	// HolderEnded reports that the process which holds the lease is known to have ended.
 	HolderEnded bool
+	// OrderPending reports that the holder recorded an order that may be under way. Neither the end of its process nor that of its lease takes
+	// back what has left the process.
+	OrderPending bool
 	// UnchangedSince is the instant since which the row of the lease has been observed unchanged.
 	UnchangedSince time.Time
 }
@@ -24,17 +33,24 @@
 // MayClaim reports whether the coordinator lease may be claimed. It may if it was given up or this VM holds it. Otherwise, no order
 // that its holder sent may still be under way. Unless the holder has ended, the lease must have expired too.
 func MayClaim(now time.Time, c LeaseClaim) bool {
+	if c.Released || c.HeldHere {
+		return true
+	}
 	delay := takeoverDelay
-	if c.HolderEnded {
+	switch {
+	case c.OrderPending:
+		delay = pendingOrderDelay
+	case c.HolderEnded:
 		delay = minOrderTime
 	}
-	return c.Released || c.HeldHere || now.Sub(c.UnchangedSince) >= delay
+	return now.Sub(c.UnchangedSince) >= delay
 }
 
+// SendBy returns the instant until which an order may be sent under a lease that was claimed or renewed by a call sent at claimedAt.
+func SendBy(claimedAt time.Time) time.Time { return claimedAt.Add(coordinatorTTL - minOrderTime) }
+
 // MayOrder reports whether an order may still be sent under a lease that was claimed or renewed by a call sent at claimedAt.
-func MayOrder(now, claimedAt time.Time) bool {
-	return now.Add(minOrderTime).Before(claimedAt.Add(coordinatorTTL))
-}
+func MayOrder(now, claimedAt time.Time) bool { return now.Before(SendBy(claimedAt)) }
 
 // MayUse reports whether a lease that was claimed or renewed by a call sent at claimedAt is still valid.
 func MayUse(now, claimedAt time.Time) bool {
--- /dev/null
+++ b/elect/orders_test.go
@@ -0,0 +1,225 @@
+package elect
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	orderSchedules  = 400
+	orderRunLength  = 90 * time.Second
+	orderStep       = 50 * time.Millisecond
+	maxObserveDelay = 400 * time.Millisecond
+	maxStop         = 20 * time.Second
+	// meanStepsToFault is after how many steps on average a VM is killed, and likewise stopped.
+	meanStepsToFault = 400
+)
+
+type (
+	// orderRule tells which precautions the simulated holders of the coordinator lease take; a test must detect that one is missing.
+	orderRule struct {
+		name string
+		// waits keeps others from a lease with an order that may be under way, keeps holds a lease until its orders are settled, checks sends
+		// nothing after SendBy, and sameToken renews under the same token.
+		waits, keeps, checks, sameToken bool
+	}
+
+	simulatedRow struct {
+		holder, boot int
+		fence        int64
+		pending      bool
+		released     bool
+		version      int
+	}
+
+	simulatedVM struct {
+		boot          int
+		stoppedUntil  time.Time
+		observed      simulatedRow
+		observedSince time.Time
+		// held is the row as this process wrote it at claimedAt; its fence is 0 if it holds no lease.
+		held      simulatedRow
+		claimedAt time.Time
+		// unsent is set while a recorded order is not sent, and settleBy is when the order cannot be under way any more.
+		unsent   bool
+		settleBy time.Time
+		answered bool
+	}
+
+	arrival struct {
+		at    time.Time
+		fence int64
+		// sender and boot are the process to which the answer goes, unless it is lost.
+		sender, boot int
+		answerLost   bool
+	}
+
+	// orderSchedule simulates VMs, the row of the coordinator lease and a platform that takes orders late, in virtual time.
+	orderSchedule struct {
+		random   *rand.Rand
+		rule     orderRule
+		now      time.Time
+		row      simulatedRow
+		vms      []simulatedVM
+		arrivals []arrival
+		// seen is the highest token that the platform has seen, and taken counts the orders.
+		seen     int64
+		taken    int
+		violated bool
+	}
+)
+
+func newOrderSchedule(seed uint64, rule orderRule) *orderSchedule {
+	return &orderSchedule{random: rand.New(rand.NewPCG(seed, 33)), rule: rule, now: now, vms: make([]simulatedVM, 3)}
+}
+
+func (s *orderSchedule) chance(n int) bool { return s.random.IntN(n) == 0 }
+
+func (s *orderSchedule) draw(most time.Duration) time.Duration {
+	return time.Duration(s.random.Int64N(int64(most)))
+}
+
+func (s *orderSchedule) run() {
+	for end := s.now.Add(orderRunLength); s.now.Before(end) && !s.violated; s.now = s.now.Add(orderStep) {
+		s.take()
+		for i := range s.vms {
+			s.step(i)
+		}
+	}
+}
+
+// take carries out the orders that arrive now.
+func (s *orderSchedule) take() {
+	var rest []arrival
+	for _, a := range s.arrivals {
+		if a.at.After(s.now) {
+			rest = append(rest, a)
+			continue
+		}
+		s.violated = s.violated || a.fence < s.seen
+		s.seen = max(s.seen, a.fence)
+		s.taken++
+		if vm := &s.vms[a.sender]; vm.boot == a.boot && !a.answerLost {
+			vm.answered = true
+		}
+	}
+	s.arrivals = rest
+}
+
+// step lets one VM act, unless it is stopped. It may be killed or stopped at any step.
+func (s *orderSchedule) step(i int) {
+	vm := &s.vms[i]
+	switch s.random.IntN(meanStepsToFault) {
+	case 0:
+		*vm = simulatedVM{boot: vm.boot + 1, stoppedUntil: s.now.Add(s.draw(time.Second))}
+	case 1:
+		vm.stoppedUntil = s.now.Add(s.draw(maxStop))
+	}
+	if s.now.Before(vm.stoppedUntil) {
+		return
+	}
+	s.observe(vm)
+	switch {
+	case vm.held.fence == 0:
+		s.claim(i)
+	case vm.unsent:
+		s.send(i)
+	default:
+		s.settle(vm)
+	}
+}
+
+func (s *orderSchedule) observe(vm *simulatedVM) {
+	if vm.observed.version != s.row.version && s.chance(int(maxObserveDelay/orderStep/2)) {
+		vm.observed, vm.observedSince = s.row, s.now
+	}
+}
+
+// claim claims the lease, if it may, and records an order.
+func (s *orderSchedule) claim(i int) {
+	vm := &s.vms[i]
+	row := vm.observed
+	own := row.fence > 0 && !row.released && row.holder == i && row.boot == vm.boot
+	claim := LeaseClaim{
+		Released: row.released || row.version == 0, HeldHere: own, HolderEnded: row.fence > 0 && s.vms[row.holder].boot != row.boot,
+		OrderPending: row.pending && s.rule.waits, UnchangedSince: vm.observedSince,
+	}
+	if !s.chance(10) || !MayClaim(s.now, claim) || row.version != s.row.version {
+		return
+	}
+	next := simulatedRow{holder: i, boot: vm.boot, fence: row.fence + 1, pending: true, version: row.version + 1}
+	if own && s.rule.sameToken {
+		next.fence = row.fence
+	}
+	s.row, vm.observed, vm.observedSince = next, next, s.now
+	vm.held, vm.claimedAt, vm.unsent, vm.answered = next, s.now, true, false
+	vm.settleBy = SendBy(s.now).Add(OrderLifetime)
+}
+
+// send sends the recorded order some time after it was recorded, unless its time has passed.
+func (s *orderSchedule) send(i int) {
+	vm := &s.vms[i]
+	if !s.chance(3) {
+		return
+	}
+	vm.unsent = false
+	if s.rule.checks && !MayOrder(s.now, vm.claimedAt) {
+		vm.answered = true
+		return
+	}
+	delay := s.draw(100 * time.Millisecond)
+	if s.chance(3) {
+		delay = s.draw(OrderLifetime)
+	}
+	s.arrivals = append(s.arrivals, arrival{at: s.now.Add(delay), fence: vm.held.fence, sender: i, boot: vm.boot, answerLost: s.chance(4)})
+}
+
+// settle gives the lease up once its order is settled. A holder that only expects this too early gives it up after a second.
+func (s *orderSchedule) settle(vm *simulatedVM) {
+	gaveUp := !s.rule.keeps && s.now.Sub(vm.claimedAt) > time.Second
+	if !vm.answered && s.now.Before(vm.settleBy) && !gaveUp {
+		if !s.rule.sameToken && s.chance(20) {
+			vm.held = simulatedRow{} // It claims again, under the next token.
+		}
+		return
+	}
+	if s.row.version == vm.held.version {
+		s.row.released, s.row.pending = true, false
+		s.row.version++
+	}
+	vm.held = simulatedRow{}
+}
+
+// TestNoOrderComesUnderAnOlderToken plays processes that are killed or stopped at any moment, and orders that the platform takes late.
+func TestNoOrderComesUnderAnOlderToken(t *testing.T) {
+	taken := 0
+	for seed := range uint64(orderSchedules) {
+		s := newOrderSchedule(seed, orderRule{waits: true, keeps: true, checks: true, sameToken: true})
+		s.run()
+		require.False(t, s.violated, "seed %d", seed)
+		taken += s.taken
+	}
+	require.Greater(t, taken, orderSchedules, "the holders send orders")
+}
+
+func TestMissingPrecautionsOfOrdersAreDetected(t *testing.T) {
+	for _, rule := range []orderRule{
+		{name: "claims a lease with an order that may be under way", keeps: true, checks: true, sameToken: true},
+		{name: "gives the lease up while an order may be under way", waits: true, checks: true, sameToken: true},
+		{name: "sends an order after a stop", waits: true, keeps: true, sameToken: true},
+		{name: "renews under a higher token", waits: true, keeps: true, checks: true},
+	} {
+		t.Run(rule.name, func(t *testing.T) {
+			found := false
+			for seed := uint64(0); seed < orderSchedules && !found; seed++ {
+				s := newOrderSchedule(seed, rule)
+				s.run()
+				found = s.violated
+			}
+			require.True(t, found, "no schedule finds the fault")
+		})
+	}
+}
--- a/model/rows.go
+++ b/model/rows.go
@@ -57,7 +57,8 @@
 
 	// Promotions orders new primaries at the platform.
 	Promotions interface {
-		// Promote orders the next primary. ErrConflict means that the instance does not run, ErrUncertain that the answer was lost.
+		// Promote orders the next primary and waits for the answer until the context ends. ErrConflict means that the instance does not run, and
+		// ErrUncertain that the order was sent and not answered, so that it may still be carried out. After any other error it will not be.
 		Promote(ctx context.Context, order PromoteOrder) error
 	}
 
@@ -67,5 +68,7 @@
 		Target InstanceName
 		Holder VMID
 		Fence  int64
+		// SendBy is the instant after which the order is not sent any more; zero sets no limit.
+		SendBy time.Time
 	}
 )
--- a/state/rows.go
+++ b/state/rows.go
@@ -52,8 +52,29 @@
 		Renewals int64
 		// Released reports that the holder gave the lease up and sends no more orders under this token.
 		Released bool
-		Version  int64 `json:"-"`
+		// Orders are the holder's orders that may still be under way. Each is recorded before it is sent, since no VM can take it back.
+		Orders  []SentOrder `json:",omitempty"`
+		Version int64       `json:"-"`
 	}
+
+	// SentOrder is an order that takes effect whenever it arrives, whatever has happened since it was sent.
+	SentOrder struct {
+		Group model.GroupName
+		Kind  OrderKind
+		// Target is the instance to promote, and Term the least term of its promotion; both are zero for other kinds.
+		Target model.InstanceName `json:",omitempty"`
+		Term   model.Term         `json:",omitempty"`
+	}
+
+	// OrderKind is the kind of a SentOrder.
+	OrderKind string
+)
+
+const (
+	// OrderPromote promotes an instance.
+	OrderPromote OrderKind = "Promote"
+	// OrderResume ends the pauses of the replicas of a group.
+	OrderResume OrderKind = "Resume"
 )
 
 // Row returns the record as a row of the store.
