RESUME is recorded like an order, and no replicas are compared while one may be under way

RESUME has no term and was sent without a look at the lease; a late one ends the pause of a newer replacement, and replicas confirm commits after they were compared. Change: RESUME is recorded in the row of the lease before it is sent, not sent once the lease is too old, and counts as under way until each replica that was sent one has answered. PAUSE and DEMOTE carry a term: a late one costs availability only.

--- a/coord/compare.go
+++ b/coord/compare.go
@@ -102,10 +102,10 @@
 	return r.allReleased()
 }
 
-// mayCompare reports whether the leases on the old primary have ended and the replicas can be compared. A comparison without a result is
-// repeated after retryInterval.
+// mayCompare reports whether the leases on the old primary have ended, nothing that would end a pause can be under way, and the replicas can be
+// compared. A comparison without a result is repeated after retryInterval.
 func (r *replacement) mayCompare(now time.Time) bool {
-	return now.Sub(r.comparedAt) >= retryInterval && r.leasesEnded(now) && r.recheckPause()
+	return now.Sub(r.comparedAt) >= retryInterval && r.leasesEnded(now) && !r.s.lease.isPending(r.group) && r.recheckPause()
 }
 
 // compare returns a replica that has every acknowledged commit, and whether there certainly is one.
--- a/coord/handover.go
+++ b/coord/handover.go
@@ -46,7 +46,9 @@
 	}
 	if !r.newIntent || !r.pausedAt.IsZero() {
 		// This run or an earlier one may have paused the replicas.
-		r.callReplicas(model.InstanceConn.Resume)
+		if err := r.resumeReplicas(ctx); err != nil {
+			return err
+		}
 		r.pausedAt, r.pauseTriedAt, r.replicas = time.Time{}, time.Time{}, nil
 	}
 	if !r.awaitCaughtUp(ctx) {
--- a/coord/keep.go
+++ b/coord/keep.go
@@ -28,7 +28,9 @@
 
 // keep resumes the replicas and withdraws the announcement.
 func (r *replacement) keep(ctx context.Context) error {
-	r.callReplicas(model.InstanceConn.Resume)
+	if err := r.resumeReplicas(ctx); err != nil {
+		return err
+	}
 	version, err := r.writeRecord(ctx, state.PrimaryRecord{
 		Group: r.group, Term: r.record.Term, Primary: r.old.Name, Replicas: without(r.record.Replicas, r.old.Name),
 	})
