Stand-ins and soak: writes at a replaced primary, and acknowledged commits that a promotion cuts off

A cluster records when a promotion took effect, the commits that the old primary made and acknowledged after it, and those that it acknowledged after it without the promoted instance having them. The soak reports a late commit as a violation if its caller was told of it, and counts both kinds by what callers were told.

--- a/commands/soak.go
+++ b/commands/soak.go
@@ -74,8 +74,8 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %d faults, %d acknowledged, %d refused, %d open, %d breaches, %d unanswered\n",
-		seed, len(report.Faults), report.Acknowledged, report.Refused, report.Unknown, len(report.Violations), report.Unanswered)
+	fmt.Printf("seed %d: %d faults, %d acknowledged, %d refused, %d open, %d breaches, %d unanswered; %s\n",
+		seed, len(report.Faults), report.Acknowledged, report.Refused, report.Unknown, len(report.Violations), report.Unanswered, report.Orders)
 	if len(report.Violations) == 0 {
 		return true, os.RemoveAll(dir)
 	}
--- a/soak/config.go
+++ b/soak/config.go
@@ -15,6 +15,8 @@
 	minSlots = 3
 	// sessionsPerSlot is how many sessions share a slot in runs of planned work, where no instance is overloaded.
 	sessionsPerSlot = 4
+	// lateFollow is how long after a promotion replicas follow the old primary in runs with faults of the promotion service.
+	lateFollow = 300 * time.Millisecond
 )
 
 // Config describes a run.
@@ -72,3 +74,11 @@
 	}
 	return minSlots
 }
+
+// followDelay returns how long after a promotion replicas go on to follow the old primary.
+func (c Config) followDelay() time.Duration {
+	if c.OrderFaults {
+		return lateFollow
+	}
+	return 0
+}
--- a/soak/history.go
+++ b/soak/history.go
@@ -59,6 +59,8 @@
 		outcomes map[outcome]int
 		// acked holds the statements whose commit was acknowledged to the caller.
 		acked map[model.RequestID]bool
+		// told holds what the callers were told of the statements that commit.
+		told map[model.RequestID]outcome
 		// unanswered holds the statements whose connection ended without a complete answer.
 		unanswered []unanswered
 	}
@@ -74,6 +76,7 @@
 	return &history{
 		sent: map[model.RequestID]sentStatement{}, items: map[string][]writtenValue{}, recent: map[model.GroupName][]string{},
 		arrivals: map[model.TeamName][]arrival{}, outcomes: map[outcome]int{}, acked: map[model.RequestID]bool{},
+		told: map[model.RequestID]outcome{},
 	}
 }
 
@@ -137,6 +140,7 @@
 	all := h.items[item]
 	all[len(all)-1].outcome, all[len(all)-1].at = o, time.Now()
 	h.outcomes[o]++
+	h.told[id] = o
 	if o == outcomeAcked {
 		h.acked[id] = true
 	}
--- /dev/null
+++ b/soak/one.go
@@ -0,0 +1,86 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/crocusshore/crocusshore/model"
+)
+
+type (
+	// OrderCounts counts what the promotion service and the instances saw around promotions.
+	OrderCounts struct {
+		// Orders counts the orders that were taken, and Violations those that broke fencing over all groups.
+		Orders, Violations int
+		// Turn is the shortest time between two orders in a row of different holders; 0 if there were none.
+		Turn time.Duration
+		// LateCommits counts the commits that an instance made after a promotion had replaced it, and acknowledged.
+		LateCommits OutcomeCounts
+		// CutOff counts the commits that an instance acknowledged and a promotion removed.
+		CutOff OutcomeCounts
+	}
+
+	// OutcomeCounts counts commits by what their callers were told.
+	OutcomeCounts struct{ Acknowledged, Refused, Unknown int }
+)
+
+// String returns the counts in one line.
+func (c OrderCounts) String() string {
+	return fmt.Sprintf("%d orders, %d broke fencing, shortest turn %s, late commits %s, cut off %s", c.Orders, c.Violations,
+		c.Turn.Round(time.Millisecond), c.LateCommits, c.CutOff)
+}
+
+// String returns the counts of callers that were told of a success, of an unknown outcome and of a refusal.
+func (c OutcomeCounts) String() string {
+	return fmt.Sprintf("%d/%d/%d", c.Acknowledged, c.Unknown, c.Refused)
+}
+
+func (c *OutcomeCounts) add(told outcome) {
+	switch told {
+	case outcomeAcked:
+		c.Acknowledged++
+	case outcomeRefused:
+		c.Refused++
+	default:
+		c.Unknown++
+	}
+}
+
+// checkOrders reports orders that broke fencing, and commits that were made at a replaced primary and acknowledged to their callers.
+func (s *site) checkOrders() {
+	for _, violation := range s.orders.Violations() {
+		s.history.addViolation("one: %s", violation)
+	}
+	for _, cluster := range s.clusters {
+		for _, late := range cluster.LateCommits() {
+			if s.toldOf(late.ID) == outcomeAcked {
+				s.history.addViolation("one: %s was committed at %s %s after a promotion had replaced it, and acknowledged to its caller",
+					late.ID, late.Instance, late.CommittedAt.Sub(late.PromotedAt).Round(time.Millisecond))
+			}
+		}
+	}
+}
+
+// countOrders returns the counts of the report.
+func (s *site) countOrders() OrderCounts {
+	counts := OrderCounts{Orders: len(s.orders.Records()), Violations: len(s.orders.Violations()), Turn: s.orders.Turn()}
+	for _, cluster := range s.clusters {
+		for _, late := range cluster.LateCommits() {
+			counts.LateCommits.add(s.toldOf(late.ID))
+		}
+		for _, id := range cluster.CutOff() {
+			counts.CutOff.add(s.toldOf(id))
+		}
+	}
+	return counts
+}
+
+// toldOf returns what the caller of a statement that commits was told; outcomeUnknown if nothing.
+func (s *site) toldOf(id model.RequestID) outcome {
+	s.history.mu.Lock()
+	defer s.history.mu.Unlock()
+	if told, known := s.history.told[id]; known {
+		return told
+	}
+	return outcomeUnknown
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -35,6 +35,7 @@
 	Acknowledged, Refused, Unknown int
 	// Unanswered counts the violations of the check of answers, also those beyond maxViolations.
 	Unanswered int
+	Orders     OrderCounts
 }
 
 // Run runs one seed: it starts the VMs, runs callers and injects faults, awaits the recovery, and checks the invariants. An error means
@@ -176,9 +177,7 @@
 		}
 		vm.mu.Unlock()
 	}
-	for _, violation := range s.orders.Violations() {
-		s.history.addViolation("one: %s", violation)
-	}
+	s.checkOrders()
 	for _, cluster := range s.clusters {
 		for _, violation := range cluster.OrderViolations() {
 			s.history.addViolation("cluster: %s", violation)
@@ -225,11 +224,12 @@
 }
 
 func (s *site) report(faults []fault) Report {
+	orders := s.countOrders()
 	s.history.mu.Lock()
 	defer s.history.mu.Unlock()
 	r := Report{
 		Violations: s.history.violations, Acknowledged: s.history.outcomes[outcomeAcked], Refused: s.history.outcomes[outcomeRefused],
-		Unknown: s.history.outcomes[outcomeUnknown], Unanswered: s.unanswered,
+		Unknown: s.history.outcomes[outcomeUnknown], Unanswered: s.unanswered, Orders: orders,
 	}
 	for _, f := range faults {
 		r.Faults = append(r.Faults, fmt.Sprintf("%6.2f s to %6.2f s  %s", f.at.Seconds(), (f.at+f.length).Seconds(), f.name))
--- a/soak/site.go
+++ b/soak/site.go
@@ -111,7 +111,7 @@
 	}
 	cluster := stand.NewCluster(stand.ClusterConfig{
 		Group: groupName(g), Instances: members, ReplicationLag: replicationLag, PromoteTime: 100 * time.Millisecond, StepDownDelay: time.Second,
-		ServiceTime: 2 * time.Millisecond,
+		FollowDelay: s.config.followDelay(), ServiceTime: 2 * time.Millisecond,
 	})
 	cluster.OnChange(func(i model.Instance) { s.register(i) })
 	s.clusters = append(s.clusters, cluster)
--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -22,6 +22,8 @@
 		// StepDownDelay is how long after a promotion the old primary becomes a replica. An old primary that is Down or Unresponsive
 		// at that time becomes one StepDownDelay, or a little more, after it can reach the new primary again.
 		StepDownDelay time.Duration
+		// FollowDelay is how long after a promotion the other replicas go on to follow the old primary.
+		FollowDelay time.Duration
 		// ServiceTime is how long a statement of a caller occupies a slot; with 0, statements occupy no slots.
 		ServiceTime time.Duration
 	}
@@ -39,6 +41,13 @@
 		orderViolations []string
 		// lostCommits holds the commits that an instance acknowledged and that a promotion removed.
 		lostCommits []model.RequestID
+		// promoted is the last instance that a promotion made the primary, nil before the first, and promotedAt is when.
+		promoted   *database
+		promotedAt time.Time
+		// lateCommits holds the commits that an instance made and acknowledged after it had been replaced, and lateAcks those that it had made
+		// before, acknowledged after and that the promoted instance lacks.
+		lateCommits []LateCommit
+		lateAcks    []model.RequestID
 		// onChange is called when the role of an instance has changed.
 		onChange func(model.Instance)
 	}
@@ -67,6 +76,13 @@
 		// With LoseAnswers, the instance runs the statements of callers and does not answer them.
 		LoseAnswers bool
 	}
+
+	// LateCommit is a commit that an instance made after a promotion had replaced it, and acknowledged.
+	LateCommit struct {
+		ID                      model.RequestID
+		Instance                model.InstanceName
+		PromotedAt, CommittedAt time.Time
+	}
 )
 
 // NewCluster returns a cluster whose instances are in term 1 and have empty logs.
@@ -149,8 +165,7 @@
 		return
 	}
 	for _, p := range c.databases {
-		// A paused replica receives only from a primary of the term that it is paused for, or of a later one.
-		if p.instance.Role != model.RolePrimary || p.term < d.term || p.term < d.pausedTerm || p.faults.Down || p.faults.Unresponsive {
+		if !c.receivesFrom(now, d, p) {
 			continue
 		}
 		if p.term > d.term {
@@ -163,6 +178,16 @@
 	}
 }
 
+// receivesFrom reports whether a replica receives commits from another instance: a primary of its own term, or of a later one that it has
+// learned of. A paused replica receives only from a primary of the term that it is paused for, or of a later one.
+func (c *Cluster) receivesFrom(now time.Time, d, p *database) bool {
+	if p.instance.Role != model.RolePrimary || p.term < d.term || p.term < d.pausedTerm || p.faults.Down || p.faults.Unresponsive {
+		return false
+	}
+	unknown := p.term > d.term && p == c.promoted && now.Sub(c.promotedAt) < c.config.FollowDelay
+	return !unknown
+}
+
 // Promote makes an instance the primary of a new term after PromoteTime. An order under an older fencing token is recorded as a violation
 // and carried out nevertheless. Promote returns model.ErrConflict if the target is unknown or down.
 func (c *Cluster) Promote(ctx context.Context, order model.PromoteOrder) error {
@@ -207,6 +232,7 @@
 	for _, d := range c.databases {
 		d.pausedTerm = 0
 	}
+	c.promoted, c.promotedAt = target, time.Now()
 	c.notifyChanged(target)
 	if old != nil && old != target {
 		time.AfterFunc(c.config.StepDownDelay, func() { c.stepDown(old, term) })
--- a/stand/clusteraudit.go
+++ b/stand/clusteraudit.go
@@ -1,11 +1,53 @@
 package stand
 
 import (
+	"slices"
 	"time"
 
 	"github.com/crocusshore/crocusshore/model"
 )
 
+// ackedCommit is a commit whose acknowledgement waits for a replica; late is set if its instance had been replaced when it was made.
+type ackedCommit struct {
+	id   model.RequestID
+	mark model.Mark
+	at   time.Time
+	late bool
+}
+
+// replaced reports whether a promotion has replaced the instance as the primary; the caller holds the lock.
+func (c *Cluster) replaced(d *database) bool { return c.promoted != nil && d.term < c.promoted.term }
+
+// recordAck records that an instance acknowledges a commit; the caller holds the lock.
+func (c *Cluster) recordAck(d *database, entry ackedCommit) {
+	c.acked[entry.id] = entry.mark
+	switch {
+	case entry.late:
+		c.lateCommits = append(c.lateCommits, LateCommit{ID: entry.id, Instance: d.instance.Name, PromotedAt: c.promotedAt, CommittedAt: entry.at})
+	case c.replaced(d) && !c.promoted.log.holds(entry.mark):
+		c.lateAcks = append(c.lateAcks, entry.id)
+	}
+}
+
+// LateCommits returns the commits that an instance made after a promotion had replaced it, and acknowledged.
+func (c *Cluster) LateCommits() []LateCommit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]LateCommit(nil), c.lateCommits...)
+}
+
+// CutOff returns the commits that an instance acknowledged, before or after a promotion that removed them, each once.
+func (c *Cluster) CutOff() []model.RequestID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := append(append([]model.RequestID(nil), c.lostCommits...), c.lateAcks...)
+	for _, late := range c.lateCommits {
+		all = append(all, late.ID)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // Violations returns the violations so far: order violations and lost commits.
 func (c *Cluster) Violations() []string {
 	c.mu.Lock()
--- a/stand/clusterconn.go
+++ b/stand/clusterconn.go
@@ -62,8 +62,9 @@
 		return busy, nil
 	}
 	reply, wait := c.execute(q)
+	entry := ackedCommit{id: q.ID, mark: wait, at: time.Now(), late: c.cluster.replaced(c.database)}
 	c.cluster.mu.Unlock()
-	if wait != (model.Mark{}) && !c.awaitReplication(deadline, wait, q.ID) {
+	if wait != (model.Mark{}) && !c.awaitReplication(deadline, entry) {
 		return model.Reply{}, model.ErrNoAnswer
 	}
 	if faults.LoseAnswers && q.ID != "" {
@@ -91,7 +92,7 @@
 
 // awaitReplication waits until another instance of the same term holds a commit, and records that it is acknowledged. It returns false
 // if the deadline comes first, the connection breaks or the instance becomes unresponsive.
-func (c *clusterConn) awaitReplication(deadline time.Time, mark model.Mark, id model.RequestID) bool {
+func (c *clusterConn) awaitReplication(deadline time.Time, entry ackedCommit) bool {
 	for time.Now().Before(deadline) {
 		c.cluster.mu.Lock()
 		if c.database.faults.Down || c.database.faults.Unresponsive || c.database.generation != c.generation {
@@ -99,8 +100,8 @@
 			return false
 		}
 		for _, d := range c.cluster.databases {
-			if d != c.database && d.term == c.database.term && d.log.holds(mark) {
-				c.cluster.acked[id] = mark
+			if d != c.database && d.term == c.database.term && d.log.holds(entry.mark) {
+				c.cluster.recordAck(c.database, entry)
 				c.cluster.mu.Unlock()
 				return true
 			}
