SIGHUP does not end a process that has just started

Cause: the Go runtime handles SIGHUP from its start on and ends the process while no channel receives it; package early registers its channels 1 to 2.5 ms later, on a busy machine much later. A constructor in C, which runs before the runtime, ignores SIGHUP until then. Nothing is lost: the settings file is read after the signals are received. SIGTERM still ends such a process, as it should.

The constructor needs cgo, as the build in deploy/system.toml does; without cgo the package builds as before (go build with CGO_ENABLED=0 passes).

--- /dev/null
+++ b/early/cgo.go
@@ -0,0 +1,3 @@
+package early
+
+import "C" // Builds reload.c.
