--- a/stand/latecommit_test.go
+++ b/stand/latecommit_test.go
@@ -64,6 +64,6 @@
 	cluster.Replicate(cluster.promotedAt)
 	require.Len(t, replica.log.entries, 1)
 	cluster.Replicate(cluster.promotedAt.Add(followDelay))
-	require.Empty(t, replica.log)
+	require.Empty(t, replica.log.entries)
 	require.Equal(t, model.Term(2), replica.term)
 }
