Promotion: a confirmation is not complete while a commit is unanswered

Cause: a replica is promoted without a pause of all replicas if it holds everything that VMs know to be acknowledged. A VM knew only what it had told its callers and what later log positions of the primary include. An acknowledgement on its way, lost, or that came after the VM had released the primary was in neither. Change: a VM counts the statements that may commit, from before the check of the lease to the answer. Its confirmation is complete only if none waits, and if a log position was asked for one second after the last one was given up; that position includes what the statement committed. Answers count as acknowledged when they come, not when the caller is told. An answer with TIMEOUT or FAILED settles nothing. The coordinator asks VMs with an incomplete confirmation again every second. The same second is required after the start of a process, for the statements of its predecessor. Unchanged: the comparison of all paused replicas, planned replacements and the way to keep a primary do not rest on complete confirmations. Not covered: a statement that the primary runs more than a second after the VM gave it up.

--- a/coord/compare.go
+++ b/coord/compare.go
@@ -27,7 +27,7 @@
 	if err := r.handOver(ctx); err != nil {
 		return model.Instance{}, err
 	}
-	for askedAt := r.announcedAt; ; {
+	for askedAt, askedAgainAt := r.announcedAt, r.announcedAt; ; {
 		now := clock.Now()
 		if r.superseded() {
 			return model.Instance{}, errSuperseded
@@ -43,8 +43,12 @@
 			if !r.oldRegistered() && r.findReturned() {
 				return model.Instance{}, errReturned
 			}
-			if !r.allReleased() {
-				r.requestReleases(ctx)
+			again := now.Sub(askedAgainAt) >= askAgainInterval && !r.allComplete()
+			if again {
+				askedAgainAt = now
+			}
+			if again || !r.allReleased() {
+				r.requestReleases(ctx, again)
 			}
 		}
 		if !retry.Sleep(ctx, pollInterval) {
--- a/coord/release.go
+++ b/coord/release.go
@@ -16,7 +16,7 @@
 // it is not paused.
 func (r *replacement) revokeLeases(ctx context.Context) {
 	var wait sync.WaitGroup
-	wait.Go(func() { r.requestReleases(ctx) })
+	wait.Go(func() { r.requestReleases(ctx, false) })
 	if !r.planned {
 		wait.Go(func() { r.pause(clock.Now()) })
 		wait.Go(func() { r.answered = r.oldKnown && !r.stuck && r.answersAsPrimary() })
@@ -26,8 +26,9 @@
 	wait.Wait()
 }
 
-// requestReleases asks this VM, and every other one that has not confirmed yet, to stop using the old primary.
-func (r *replacement) requestReleases(ctx context.Context) {
+// requestReleases asks this VM, and every other one that has not confirmed yet, to stop using the old primary. With again, it also asks those
+// that confirmed while they did not know what had been acknowledged to them.
+func (r *replacement) requestReleases(ctx context.Context, again bool) {
 	inFlightWait := time.Duration(0)
 	if r.planned {
 		inFlightWait = maxInFlightWait
@@ -35,7 +36,7 @@
 	request := peers.ReleaseRequest{Group: r.group, Version: r.record.Version, Settle: inFlightWait}
 	var missing []state.VM
 	for _, vm := range r.s.config.Cache.Snapshot().Others(r.s.config.Self) {
-		if _, done := r.releases[vm.Name]; !done {
+		if release, done := r.releases[vm.Name]; !done || (again && !release.Complete) {
 			missing = append(missing, vm)
 		}
 	}
@@ -61,6 +62,16 @@
 	return true
 }
 
+// allComplete reports whether every registered VM confirmed and knows what was acknowledged to it.
+func (r *replacement) allComplete() bool {
+	for name := range r.s.config.Cache.Snapshot().VMs {
+		if !r.releases[name].Complete {
+			return false
+		}
+	}
+	return true
+}
+
 // leasesEnded reports whether every lease on the old primary has ended: every VM confirmed, or the leases have expired.
 func (r *replacement) leasesEnded(now time.Time) bool {
 	if r.allReleased() {
--- a/coord/replace.go
+++ b/coord/replace.go
@@ -29,6 +29,9 @@
 	replaceTimeout = 15 * time.Second
 	// retryInterval is the pause between two requests to VMs or replicas that did not answer.
 	retryInterval = 200 * time.Millisecond
+	// askAgainInterval is the pause between two requests to VMs that confirmed while statements were unanswered; in this time most statements are
+	// answered or given up.
+	askAgainInterval = time.Second
 	// promotionTimeout bounds the wait until an instance reports that it was promoted.
 	promotionTimeout = 2500 * time.Millisecond
 )
--- a/elect/choose.go
+++ b/elect/choose.go
@@ -23,7 +23,8 @@
 		VM model.VMID
 		// Known is the highest log position that the VM observed to be acknowledged, or zero if it observed none.
 		Known model.Mark
-		// Complete reports whether Known covers every commit that was acknowledged on the VM, also by its earlier processes.
+		// Complete reports whether Known covers every commit that an instance may have acknowledged to the VM, also to its earlier processes. It does
+		// not while a statement that may commit is unanswered, since its acknowledgement may be on the way or lost.
 		Complete bool
 	}
 
@@ -46,8 +47,8 @@
 // A commit is acknowledged once one replica received it. So if all replicas were paused before they were compared, and all recorded ones are
 // among them, the one with the furthest log has every acknowledged commit. That they are the recorded ones has to be settled if one holds nothing,
 // since it may just have started again, and also if the leases of VMs had to run out, since that takes no less time. Otherwise every VM must
-// have confirmed and know what was acknowledged on it, at least one must have observed an acknowledged position, and the furthest log must reach
-// the highest such position.
+// have confirmed and know what was acknowledged to it, with no statement unanswered, at least one must have observed an acknowledged position, and
+// the furthest log must reach the highest such position.
 func Choose(e Evidence) (Replica, bool) {
 	best, found := furthest(e.Replicas)
 	if !found {
--- a/elect/naive_test.go
+++ b/elect/naive_test.go
@@ -21,8 +21,9 @@
 		// stopped using the primary.
 		observed    []int
 		notReleased []bool
-		// restarted holds which VMs started again since the last commit and do not know what they acknowledged before.
-		restarted []bool
+		// restarted holds which VMs started again since the last commit and do not know what they acknowledged before, and unanswered which have a
+		// statement without an answer.
+		restarted, unanswered []bool
 	}
 
 	simulatedReplica struct {
@@ -37,7 +38,7 @@
 )
 
 func newGroup(seed uint64) *group {
-	g := &group{random: rand.New(rand.NewPCG(seed, 7)), replicas: make([]simulatedReplica, 2), observed: make([]int, 3), notReleased: make([]bool, 3), restarted: make([]bool, 3)}
+	g := &group{random: rand.New(rand.NewPCG(seed, 7)), replicas: make([]simulatedReplica, 2), observed: make([]int, 3), notReleased: make([]bool, 3), restarted: make([]bool, 3), unanswered: make([]bool, 3)}
 	for range 40 {
 		g.step()
 	}
@@ -70,7 +71,7 @@
 	}
 }
 
-// commit writes to the primary; the write is acknowledged through a random VM if a replica receives it.
+// commit writes to the primary through a random VM. The primary acknowledges the write if a replica receives it; at times the answer is lost.
 func (g *group) commit() {
 	g.position++
 	received := false
@@ -80,12 +81,16 @@
 			received = true
 		}
 	}
+	vm := g.random.IntN(len(g.observed))
 	if received {
 		g.acked = g.position
-		vm := g.random.IntN(len(g.observed))
-		// The answer of the primary shows a VM that started again what was acknowledged before.
-		g.observed[vm], g.restarted[vm] = g.position, false
 	}
+	if !received || g.random.IntN(8) == 0 {
+		g.unanswered[vm] = true
+		return
+	}
+	// The answer of the primary shows what was acknowledged before, also to a VM that started again or has a statement without an answer.
+	g.observed[vm], g.restarted[vm], g.unanswered[vm] = g.position, false, false
 }
 
 // evidence returns what the holder of the coordinator lease finds after the primary failed and all leases on it expired.
@@ -107,7 +112,7 @@
 			e.AllReleased = false
 			continue
 		}
-		r := Release{VM: model.VMID(fmt.Sprint(vm)), Complete: !g.restarted[vm]}
+		r := Release{VM: model.VMID(fmt.Sprint(vm)), Complete: !g.restarted[vm] && !g.unanswered[vm]}
 		if position > 0 {
 			r.Known = mark(1, position)
 		}
@@ -144,5 +149,5 @@
 	}
 	t.Logf("the naive choice lost commits in %d of %d runs; Choose lost none and waited in %d", lost, runs, waited)
 	require.Positive(t, lost)
-	require.Zero(t, needless, "all VMs confirmed, know what they acknowledged, and a replica that answers has all that they observed to be acknowledged")
+	require.Zero(t, needless, "all VMs confirmed, know what was acknowledged to them, and a replica that answers has all that they observed to be acknowledged")
 }
--- a/node/local.go
+++ b/node/local.go
@@ -36,19 +36,13 @@
 	return reply
 }
 
-// Release ends the use of a primary, after a wait for the answers to statements in flight. What earlier processes of this VM acknowledged is
-// covered by a log position of a later time than the start of this one.
+// Release ends the use of a primary, after a wait for the answers to statements in flight.
 func (n *Node) Release(request peers.ReleaseRequest) elect.Release {
 	n.cache.Revoke(request.Group, request.Version)
 	settled := n.server.AwaitInFlight(request.Group, request.Settle)
 	n.server.ConfirmRelease(request.Group, request.Version)
-	release := elect.Release{VM: n.config.Settings.VM, Known: n.server.CommitStatus(clock.Now(), request.Group).Acked}
-	if last, ok := n.samples.Last(request.Group); ok {
-		release.Complete = !last.At.Before(n.startedAt)
-		if release.Known.Before(last.Mark) {
-			release.Known = last.Mark
-		}
-	}
+	release := elect.Release{VM: n.config.Settings.VM}
+	release.Known, release.Complete = n.server.KnownCommits(request.Group, n.startedAt)
 	n.config.Log.Info("primary released", "group", request.Group, "row-version", request.Version, "settled", settled, "acked-mark", release.Known,
 		"complete", release.Complete)
 	return release
--- a/serve/commits.go
+++ b/serve/commits.go
@@ -9,8 +9,6 @@
 
 // CommitStatus is what this VM observed of the commits in a group.
 type CommitStatus struct {
-	// Acked is the highest log position that was acknowledged to a caller as committed.
-	Acked model.Mark
 	// AckedAt is when a commit was last acknowledged. StuckSince is when the first commit of the current run of unanswered ones was
 	// sent; it is zero if there is no such run.
 	AckedAt    time.Time
@@ -30,7 +28,9 @@
 	// groupCommits is what was observed of a group. unansweredAt is when a commit was last found to be unanswered, and unansweredTerm the term
 	// of the primary that it was sent to.
 	groupCommits struct {
-		status         CommitStatus
+		status CommitStatus
+		// answered is the highest log position that an instance answered as committed, whether or not the caller was told.
+		answered       model.Mark
 		unansweredAt   time.Time
 		unansweredTerm model.Term
 	}
@@ -40,14 +40,29 @@
 	return &commitTracker{groups: map[model.GroupName]groupCommits{}}
 }
 
-// recordAcked records that a commit at a log position was acknowledged.
-func (c *commitTracker) recordAcked(now time.Time, group model.GroupName, mark model.Mark) {
+// recordAnswered records that an instance answered a commit at a log position, which may still not be acknowledged to the caller.
+func (c *commitTracker) recordAnswered(group model.GroupName, mark model.Mark) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	g := c.groups[group]
-	if g.status.Acked.Before(mark) {
-		g.status.Acked = mark
+	if g.answered.Before(mark) {
+		g.answered = mark
 	}
+	c.groups[group] = g
+}
+
+// highestAnswered returns the highest log position that an instance answered as committed.
+func (c *commitTracker) highestAnswered(group model.GroupName) model.Mark {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.groups[group].answered
+}
+
+// recordAcked records that a commit was acknowledged to its caller.
+func (c *commitTracker) recordAcked(now time.Time, group model.GroupName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := c.groups[group]
 	g.status.AckedAt, g.status.StuckSince = now, time.Time{}
 	c.groups[group] = g
 }
--- a/serve/commits_test.go
+++ b/serve/commits_test.go
@@ -15,16 +15,17 @@
 	c := newCommitTracker()
 	now := time.Unix(100, 0)
 	mark := model.Mark{Term: 1, Position: 7}
-	c.recordAcked(now, "g", mark)
+	c.recordAnswered("g", mark)
+	c.recordAcked(now, "g")
 	sentAt := now.Add(time.Second)
 	c.recordUnanswered(sentAt.Add(800*time.Millisecond), sentAt, "g", 1)
 	require.Equal(t, sentAt, c.status(sentAt.Add(time.Second), "g", 1).StuckSince)
 	require.Zero(t, c.status(sentAt.Add(800*time.Millisecond+stuckTTL+time.Millisecond), "g", 1).StuckSince)
-	require.Equal(t, mark, c.status(sentAt.Add(time.Hour), "g", 1).Acked)
+	require.Equal(t, mark, c.highestAnswered("g"))
 	later := sentAt.Add(10 * time.Second)
 	c.recordUnanswered(later.Add(time.Second), later, "g", 1)
 	require.Equal(t, later, c.status(later.Add(time.Second), "g", 1).StuckSince, "a new run of unanswered commits starts over")
-	c.recordAcked(later.Add(2*time.Second), "g", mark)
+	c.recordAcked(later.Add(2*time.Second), "g")
 	require.Zero(t, c.status(later.Add(2*time.Second), "g", 1).StuckSince)
 }
 
--- a/serve/server.go
+++ b/serve/server.go
@@ -55,6 +55,7 @@
 		config     Config
 		inflight   *inflight
 		commits    *commitTracker
+		sent       *sentCommits
 		readDemand *readDemand
 		// pollRounds limits the rounds of requests for log positions and term checks.
 		pollRounds *pollRounds
@@ -72,7 +73,7 @@
 
 // New returns a server without callers.
 func New(config Config) *Server {
-	return &Server{config: config, inflight: newInflight(), commits: newCommitTracker(), readDemand: newReadDemand(), pollRounds: newPollRounds(), sessions: map[*callerSession]struct{}{}}
+	return &Server{config: config, inflight: newInflight(), commits: newCommitTracker(), sent: newSentCommits(), readDemand: newReadDemand(), pollRounds: newPollRounds(), sessions: map[*callerSession]struct{}{}}
 }
 
 // Open counts the session of a caller as open; the returned function serves it until it ends.
--- a/serve/write.go
+++ b/serve/write.go
@@ -71,11 +71,17 @@
 	return reply
 }
 
-// sendPossibleCommit sends a statement that may commit; an error means that nothing was sent.
+// sendPossibleCommit sends a statement that may commit; an error means that nothing was sent. Until it is settled what the statement
+// committed, confirmations of this VM are not complete; see KnownCommits.
 func (c *callerSession) sendPossibleCommit(conn model.PooledConn, op operation, s statement, to target, step sess.Step, deadline time.Time) (model.Reply, error) {
 	group := op.route.Group
 	c.server.inflight.add(group, 1)
 	defer c.server.inflight.add(group, -1)
+	settled := true
+	if step.MayCommit() {
+		c.server.sent.begin(group)
+		defer func() { c.server.sent.end(clock.Now(), group, settled) }()
+	}
 	sentAt := clock.Now()
 	if to.primary && !c.server.config.Cache.LeaseValid(sentAt, to.lease) {
 		return model.Reply{}, errLease
@@ -87,12 +93,17 @@
 		if errors.Is(err, model.ErrNotSent) {
 			return model.Reply{}, err
 		}
-		if (step.Kind == sess.StepWrite || step.Wrote) && !errors.Is(err, remote.ErrOwnerNoAnswer) {
+		settled = false
+		if step.MayCommit() && !errors.Is(err, remote.ErrOwnerNoAnswer) {
 			c.server.commits.recordUnanswered(now, sentAt, group, to.lease.Term)
 		}
 		return model.Reply{Fault: sess.UnansweredFault(step, !now.Before(deadline)), Detail: "the primary did not answer"}, nil
 	}
 	c.recordAnswer(sentAt, op, to, step.Kind == sess.StepWrite, reply)
+	settled = step.Settles(reply)
+	if settled && reply.Fault == "" && step.MayCommit() {
+		c.server.commits.recordAnswered(group, reply.Mark)
+	}
 	return c.finalReply(now, to, step, reply), nil
 }
 
@@ -103,9 +114,9 @@
 	defer c.server.confirmMu.RUnlock()
 	group := to.instance.Group
 	result := sess.CallerReply(step, reply, !to.primary || c.server.config.Cache.MayAcknowledge(now, to.lease))
-	if result.Fault == "" && (step.Kind == sess.StepWrite || step.Wrote) {
+	if result.Fault == "" && step.MayCommit() {
 		c.session.RecordCommit(group, reply.Mark)
-		c.server.commits.recordAcked(now, group, reply.Mark)
+		c.server.commits.recordAcked(now, group)
 	}
 	return result
 }
--- a/sess/outcome.go
+++ b/sess/outcome.go
@@ -23,15 +23,24 @@
 	StepCommit StepKind = "Commit"
 )
 
-// mayPersist reports whether the step itself can have a lasting effect.
-func (s Step) mayPersist() bool {
+// MayCommit reports whether the step itself can have a lasting effect.
+func (s Step) MayCommit() bool {
 	return s.Kind == StepWrite || (s.Kind == StepCommit && s.Wrote)
 }
 
+// Settles reports whether the answer of an instance to the step tells whether it committed: the answer is a success with a proof, or a fault after
+// which the caller is promised that nothing is kept.
+func (s Step) Settles(reply model.Reply) bool {
+	if reply.Fault == "" {
+		return reply.Proof != ""
+	}
+	return reply.Fault.NotRun()
+}
+
 // UnansweredFault returns the fault of a step that was sent and got no answer; timedOut is set if its deadline has passed.
 func UnansweredFault(step Step, timedOut bool) model.Fault {
 	switch {
-	case step.mayPersist():
+	case step.MayCommit():
 		return model.FaultUncertain
 	case step.Kind == StepRead && timedOut:
 		return model.FaultTimeout
@@ -49,7 +58,7 @@
 	switch {
 	case reply.Fault == "" && reply.Proof == "":
 		return model.Reply{Fault: UnansweredFault(step, false), Detail: "the answer of the instance has no proof"}
-	case reply.Fault == "" && step.mayPersist() && !mayAcknowledge:
+	case reply.Fault == "" && step.MayCommit() && !mayAcknowledge:
 		return model.Reply{Fault: model.FaultUncertain, Detail: "the primary may have been replaced before it answered"}
 	case reply.Fault == "":
 		return reply
--- a/sess/outcome_test.go
+++ b/sess/outcome_test.go
@@ -72,3 +72,14 @@
 	require.Equal(t, "a", older["zone"])
 	require.Equal(t, "b", s.Values["zone"])
 }
+
+// TestOnlyADefiniteAnswerSettlesWhetherAStepCommitted guards against lost commits: an instance may have kept what it answered with such a fault.
+func TestOnlyADefiniteAnswerSettlesWhetherAStepCommitted(t *testing.T) {
+	write := Step{Kind: StepWrite}
+	require.True(t, write.Settles(model.Reply{Proof: "p"}))
+	require.True(t, write.Settles(model.Reply{Fault: model.FaultReadOnly}))
+	require.False(t, write.Settles(model.Reply{}), "no proof")
+	for _, fault := range []model.Fault{model.FaultTimeout, model.FaultFailed, model.FaultOther} {
+		require.False(t, write.Settles(model.Reply{Fault: fault}), fault)
+	}
+}
