Soak: a line for each order and each commit that a promotion cut off

The counts didn't tell which promotion removed a commit and when it was acknowledged. CutOffs holds each once, with both times. A turn of none and one of less than half a millisecond printed the same.

--- a/commands/soak.go
+++ b/commands/soak.go
@@ -76,6 +76,9 @@
 	}
 	fmt.Printf("seed %d: %d faults, %d acknowledged, %d refused, %d open, %d breaches, %d unanswered; %s\n",
 		seed, len(report.Faults), report.Acknowledged, report.Refused, report.Unknown, len(report.Violations), report.Unanswered, report.Orders)
+	for _, d := range report.Orders.Details {
+		fmt.Println("  ", d)
+	}
 	if len(report.Violations) == 0 {
 		return true, os.RemoveAll(dir)
 	}
--- a/soak/one.go
+++ b/soak/one.go
@@ -7,6 +7,9 @@
 	"github.com/crocusshore/crocusshore/model"
 )
 
+// timeFormat is the form of times in the lines of a report.
+const timeFormat = "15:04:05.000"
+
 type (
 	// OrderCounts counts what the promotion service and the instances saw around promotions.
 	OrderCounts struct {
@@ -18,6 +21,8 @@
 		LateCommits OutcomeCounts
 		// CutOff counts the commits that an instance acknowledged and a promotion removed.
 		CutOff OutcomeCounts
+		// Details holds a line for each order and for each commit that a promotion removed.
+		Details []string
 	}
 
 	// OutcomeCounts counts commits by what their callers were told.
@@ -26,8 +31,11 @@
 
 // String returns the counts in one line.
 func (c OrderCounts) String() string {
-	return fmt.Sprintf("%d orders, %d broke fencing, shortest turn %s, late commits %s, cut off %s", c.Orders, c.Violations,
-		c.Turn.Round(time.Millisecond), c.LateCommits, c.CutOff)
+	turn := "no turn"
+	if c.Turn > 0 {
+		turn = "shortest turn " + c.Turn.Round(time.Millisecond).String()
+	}
+	return fmt.Sprintf("%d orders, %d broke fencing, %s, late commits %s, cut off %s", c.Orders, c.Violations, turn, c.LateCommits, c.CutOff)
 }
 
 // String returns the counts of callers that were told of a success, of an unknown outcome and of a refusal.
@@ -64,12 +72,18 @@
 // countOrders returns the counts of the report.
 func (s *site) countOrders() OrderCounts {
 	counts := OrderCounts{Orders: len(s.orders.Records()), Violations: len(s.orders.Violations()), Turn: s.orders.Turn()}
+	for _, record := range s.orders.Records() {
+		counts.Details = append(counts.Details, "order: "+record.String())
+	}
 	for _, cluster := range s.clusters {
 		for _, late := range cluster.LateCommits() {
 			counts.LateCommits.add(s.toldOf(late.ID))
 		}
-		for _, id := range cluster.CutOff() {
-			counts.CutOff.add(s.toldOf(id))
+		for _, cut := range cluster.CutOffs() {
+			told := s.toldOf(cut.ID)
+			counts.CutOff.add(told)
+			counts.Details = append(counts.Details, fmt.Sprintf("cut off: %s at %s, told %s, acknowledged by its instance %s, %s promoted %s", cut.ID, cut.Mark,
+				told, cut.AckedAt.Format(timeFormat), cut.Promoted, cut.PromotedAt.Format(timeFormat)))
 		}
 	}
 	return counts
--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -44,10 +44,11 @@
 		// promoted is the last instance that a promotion made the primary, nil before the first, and promotedAt is when.
 		promoted   *database
 		promotedAt time.Time
-		// lateCommits holds the commits that an instance made and acknowledged after it had been replaced, and lateAcks those that it had made
-		// before, acknowledged after and that the promoted instance lacks.
+		// lateCommits holds the commits that an instance made and acknowledged after it had been replaced.
 		lateCommits []LateCommit
-		lateAcks    []model.RequestID
+		// ackedAt holds when the commits in acked were acknowledged, and cutOffs describes those that a promotion removed.
+		ackedAt map[model.RequestID]time.Time
+		cutOffs []CutOff
 		// onChange is called when the role of an instance has changed.
 		onChange func(model.Instance)
 	}
@@ -83,11 +84,23 @@
 		Instance                model.InstanceName
 		PromotedAt, CommittedAt time.Time
 	}
+
+	// CutOff is a commit that an instance acknowledged and a promotion removed.
+	CutOff struct {
+		ID                  model.RequestID
+		Mark                model.Mark
+		AckedAt, PromotedAt time.Time
+		// Promoted is the promoted instance.
+		Promoted model.InstanceName
+	}
 )
 
 // NewCluster returns a cluster whose instances are in term 1 and have empty logs.
 func NewCluster(config ClusterConfig) *Cluster {
-	c := &Cluster{config: config, databases: map[model.InstanceName]*database{}, acked: map[model.RequestID]model.Mark{}}
+	c := &Cluster{
+		config: config, databases: map[model.InstanceName]*database{}, acked: map[model.RequestID]model.Mark{},
+		ackedAt: map[model.RequestID]time.Time{},
+	}
 	for _, instance := range config.Instances {
 		c.databases[instance.Name] = &database{instance: instance, term: 1}
 	}
--- a/stand/clusteraudit.go
+++ b/stand/clusteraudit.go
@@ -20,12 +20,12 @@
 
 // recordAck records that an instance acknowledges a commit; the caller holds the lock.
 func (c *Cluster) recordAck(d *database, entry ackedCommit) {
-	c.acked[entry.id] = entry.mark
-	switch {
-	case entry.late:
+	c.acked[entry.id], c.ackedAt[entry.id] = entry.mark, time.Now()
+	if entry.late {
 		c.lateCommits = append(c.lateCommits, LateCommit{ID: entry.id, Instance: d.instance.Name, PromotedAt: c.promotedAt, CommittedAt: entry.at})
-	case c.replaced(d) && !c.promoted.log.holds(entry.mark):
-		c.lateAcks = append(c.lateAcks, entry.id)
+	}
+	if c.replaced(d) && !c.promoted.log.holds(entry.mark) {
+		c.recordCutOff(entry.id, entry.mark, c.promoted, c.promotedAt)
 	}
 }
 
@@ -36,16 +36,20 @@
 	return append([]LateCommit(nil), c.lateCommits...)
 }
 
-// CutOff returns the commits that an instance acknowledged, before or after a promotion that removed them, each once.
-func (c *Cluster) CutOff() []model.RequestID {
+// CutOffs returns the commits that an instance acknowledged, before or after a promotion that removed them, each once.
+func (c *Cluster) CutOffs() []CutOff {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	all := append(append([]model.RequestID(nil), c.lostCommits...), c.lateAcks...)
-	for _, late := range c.lateCommits {
-		all = append(all, late.ID)
-	}
-	slices.Sort(all)
-	return slices.Compact(all)
+	return append([]CutOff(nil), c.cutOffs...)
+}
+
+// isCutOff reports whether the commit is recorded as removed already; the caller holds the lock.
+func (c *Cluster) isCutOff(id model.RequestID) bool {
+	return slices.ContainsFunc(c.cutOffs, func(cut CutOff) bool { return cut.ID == id })
+}
+
+func (c *Cluster) recordCutOff(id model.RequestID, mark model.Mark, promoted *database, promotedAt time.Time) {
+	c.cutOffs = append(c.cutOffs, CutOff{ID: id, Mark: mark, AckedAt: c.ackedAt[id], PromotedAt: promotedAt, Promoted: promoted.instance.Name})
 }
 
 // Violations returns the violations so far: order violations and lost commits.
@@ -109,6 +113,9 @@
 	for id, mark := range c.acked {
 		if !target.log.holds(mark) {
 			c.lostCommits = append(c.lostCommits, id)
+			if !c.isCutOff(id) {
+				c.recordCutOff(id, mark, target, time.Now())
+			}
 			delete(c.acked, id)
 		}
 	}
--- a/stand/latecommit_test.go
+++ b/stand/latecommit_test.go
@@ -48,7 +48,7 @@
 				promote()
 			}
 			require.Len(t, cluster.LateCommits(), c.late)
-			require.Len(t, cluster.CutOff(), c.cutOff)
+			require.Len(t, cluster.CutOffs(), c.cutOff)
 		})
 	}
 }
--- a/stand/ordersaudit.go
+++ b/stand/ordersaudit.go
@@ -25,7 +25,7 @@
 		o.violations = append(o.violations, fmt.Sprintf("two holders ordered under one fencing token: %s, after %s", record, first))
 	}
 	if last := o.lastTaken; last != nil && last.Order.Holder != record.Order.Holder {
-		if turn := record.TakenAt.Sub(last.TakenAt); o.turn == 0 || turn < o.turn {
+		if turn := max(1, record.TakenAt.Sub(last.TakenAt)); o.turn == 0 || turn < o.turn {
 			o.turn = turn
 		}
 	}
