Rates: a failure domain takes no more than its even share while it doesn't know the others' demand

Trace of one run on, worst window 173 of 152, from arrivals at the instances joined with the VMs' logs: vm-3, which admits for the team in its failure domain, is stopped (SIGSTOP) for 3 s; vm-0 admits in its place with others=0.0 and a part of 11.7, then 14.1 and 16.5 of 20 a second (18.6 at the end of the run), vm-5 in another failure domain has 11.8 with the demand of one other, and the third has 6.7.

Cause: demand is reported to the VM that ranks first in each other failure domain, and only if there is any. Who admits in its place hears nothing, and took that for no demand. Now a failure domain whose demand isn't known keeps its even share. To learn it, a VM with demand gets an answer to its reports, for the teams that the other's own reports to it leave out, also where they are 0. VMs of an older version don't answer; the even share applies with them.

Ruled out: counting. 1 of the 173 was repeated, no admission was decided without other VMs, and each arrival belongs to an admitted statement.

--- a/node/node.go
+++ b/node/node.go
@@ -97,7 +97,7 @@
 	n.pool = conns.New(conns.Config{Dialer: config.Dialer, Formatter: platform.StatementFormatter{}, Budget: n.connectionBudget})
 	n.rankings = state.NewRankings(n.cache)
 	domainLimiter := share.New(clock.Now(), share.Config{
-		Weight: n.weight, Team: n.team, Slack: s.RateSlack, Excess: s.RateExcess, Window: s.RateWindow,
+		Domain: s.Domain, Weight: n.weight, Team: n.team, Slack: s.RateSlack, Excess: s.RateExcess, Window: s.RateWindow,
 	})
 	n.limiter = peers.NewRateLimiter(clock.Now(), peers.RateLimiterConfig{
 		Self: s.VM, Domain: s.Domain, Rankings: n.rankings, Limiter: domainLimiter, Team: n.team, Log: config.Log,
--- a/peers/ratelimiter.go
+++ b/peers/ratelimiter.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -164,7 +165,7 @@
 	for team, demand := range report.Demand {
 		for _, vm := range r.remoteAdmitters(now, team) {
 			if reports[vm.Gossip] == nil {
-				reports[vm.Gossip] = &share.Report{VM: r.config.Self, Demand: map[model.TeamName]float64{}}
+				reports[vm.Gossip] = &share.Report{VM: r.config.Self, Domain: r.config.Domain, Demand: map[model.TeamName]float64{}}
 			}
 			reports[vm.Gossip].Demand[team] = demand
 		}
@@ -174,6 +175,23 @@
 	}
 }
 
+// answerReport reports the demand for those teams in a report that this VM's own reports to its sender leave out: teams without demand here,
+// and teams for which the sender admits in place of another VM. Without an answer the sender takes no more than its even share.
+func (r *RateLimiter) answerReport(now time.Time, from netip.AddrPort, report share.Report) {
+	var left []model.TeamName
+	for team := range report.Demand {
+		own := r.config.Limiter.ReportFor(r.config.Self, []model.TeamName{team}).Demand[team]
+		ranksFirst := slices.ContainsFunc(r.remoteAdmitters(now, team), func(vm state.VM) bool { return vm.Name == report.VM })
+		if own == 0 || !ranksFirst {
+			left = append(left, team)
+		}
+	}
+	if len(left) > 0 {
+		answer := r.config.Limiter.ReportFor(r.config.Self, left)
+		r.transport.send(from, datagram{Reported: &answer})
+	}
+}
+
 // remoteAdmitters returns the VMs that admit for a team in the other failure domains.
 func (r *RateLimiter) remoteAdmitters(now time.Time, team model.TeamName) []state.VM {
 	var others []state.VM
@@ -216,6 +234,10 @@
 	}
 	if message.Report != nil {
 		r.config.Limiter.RecordReport(now, *message.Report)
+		r.answerReport(now, from, *message.Report)
+	}
+	if message.Reported != nil {
+		r.config.Limiter.RecordReport(now, *message.Reported)
 	}
 	if len(message.Wants) > 0 {
 		r.grantTokens(now, from, message.Wants)
--- a/peers/ratelimiter_test.go
+++ b/peers/ratelimiter_test.go
@@ -62,7 +62,7 @@
 	require.NoError(t, cache.ApplyRows(1, true, rows, now))
 	team := func(name model.TeamName) (policy.Team, bool) { return limits, name == limits.Name }
 	// The limiter has run for a while, so that its buckets are full.
-	limiter := share.New(now.Add(-time.Minute), share.Config{Weight: func() float64 { return share.Weight(domains) }, Team: team, Slack: 20})
+	limiter := share.New(now.Add(-time.Minute), share.Config{Domain: vm.Domain, Weight: func() float64 { return share.Weight(domains) }, Team: team, Slack: 20})
 	r := NewRateLimiter(now.Add(-time.Minute), RateLimiterConfig{
 		Self: vm.Name, Domain: vm.Domain, Rankings: state.NewRankings(cache), Limiter: limiter, Team: team, Log: log.New(io.Discard),
 	})
@@ -119,6 +119,21 @@
 	require.Less(t, time.Since(start), 10*admissionTimeout, "a VM that does not answer is skipped for a while")
 }
 
+// TestVMThatStandsInLearnsTheDemandOfOthers guards against a VM that never learns the demand of another failure domain: that one reports it to the
+// VM that ranks first, and only if it has any. Its answer to a report tells it.
+func TestVMThatStandsInLearnsTheDemandOfOthers(t *testing.T) {
+	f := startAdmitters(t, 2, 1)
+	standIn := f.limiters[f.ranking("0")[1].Name]
+	partLater := func() float64 {
+		return standIn.config.Limiter.Admit(clock.Now().Add(2500*time.Millisecond), limits, share.BucketStart{}).Part
+	}
+	require.LessOrEqual(t, partLater(), limits.Rate/2, "the demand of the other failure domain is not known")
+	for range 40 {
+		standIn.admit(clock.Now(), limits)
+	}
+	require.Eventually(t, func() bool { return partLater() > 0.8*limits.Rate }, 3*time.Second, 20*time.Millisecond)
+}
+
 func TestPartitionedVMAdmitsOnlyItsShare(t *testing.T) {
 	f := startAdmitters(t, 4, 1)
 	ranked := f.ranking("0")
--- a/peers/udp.go
+++ b/peers/udp.go
@@ -24,14 +24,15 @@
 		handle func(now time.Time, from netip.AddrPort, message datagram)
 	}
 
-	// datagram is an admission request (Ask) or its answer (Told), a demand report, token requests (Wants) or granted tokens (Loans), which
-	// are not paid back.
+	// datagram is an admission request (Ask) or its answer (Told), a demand report or the answer to one (Reported), token requests (Wants) or
+	// granted tokens (Loans), which are not paid back.
 	datagram struct {
-		Ask    *admissionRequest     `json:",omitempty"`
-		Told   *admissionReply       `json:",omitempty"`
-		Report *share.Report         `json:",omitempty"`
-		Wants  []share.TokenTransfer `json:",omitempty"`
-		Loans  []share.TokenTransfer `json:",omitempty"`
+		Ask      *admissionRequest     `json:",omitempty"`
+		Told     *admissionReply       `json:",omitempty"`
+		Report   *share.Report         `json:",omitempty"`
+		Reported *share.Report         `json:",omitempty"`
+		Wants    []share.TokenTransfer `json:",omitempty"`
+		Loans    []share.TokenTransfer `json:",omitempty"`
 	}
 
 	// admissionRequest requests a decision on an operation of a team.
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -23,12 +23,16 @@
 type (
 	// Report is the demand at a VM that it sends to the others, in operations per second.
 	Report struct {
-		VM     model.VMID
+		VM model.VMID
+		// Domain is the failure domain of the VM; if it is empty, the VM counts as one of its own.
+		Domain model.Domain `json:",omitempty"`
 		Demand map[model.TeamName]float64
 	}
 
 	// Config holds what a limiter needs of the settings and the other VMs.
 	Config struct {
+		// Domain is the failure domain of this VM.
+		Domain model.Domain
 		// Weight returns the share of the total demand that this failure domain expects without reports; all weights add up to 1.
 		Weight func() float64
 		// Team returns the limits of a team, and whether it exists.
@@ -107,7 +111,8 @@
 	domainRate, _ := l.refill(now, limits, t)
 	t.demand.count(now)
 	after, ok := t.bucket.take(domainRate)
-	return Decision{Admitted: ok, RetryAfter: after, Part: domainRate, Demand: t.demand.read(now), Fleet: l.othersDemand(now, limits.Name)}
+	others, _ := l.othersDemand(now, limits.Name)
+	return Decision{Admitted: ok, RetryAfter: after, Part: domainRate, Demand: t.demand.read(now), Fleet: others}
 }
 
 func (l *Limiter) team(limits policy.Team, start BucketStart) *team {
@@ -126,24 +131,40 @@
 	return t
 }
 
-// refill brings a team's bucket up to date. It returns the failure domain's share of the team's rate and the size of the bucket.
+// refill brings a team's bucket up to date. It returns the failure domain's share of the team's rate and the size of the bucket. The even share
+// of each failure domain whose demand is not known is left to it.
 func (l *Limiter) refill(now time.Time, limits policy.Team, t *team) (domainRate, size float64) {
 	weight := l.config.Weight()
-	domainRate = Split(limits.Rate, l.own.settledDemand(now, limits.Name), l.othersDemand(now, limits.Name), weight)
+	others, reported := l.othersDemand(now, limits.Name)
+	known := min(1, float64(1+reported)*weight)
+	domainRate = Split(known*limits.Rate, l.own.settledDemand(now, limits.Name), others, weight/known)
 	size = BurstSize(limits, l.config.Slack, domainRate, weight)
 	t.bucket.refill(now, domainRate, size)
 	return domainRate, size
 }
 
-// othersDemand returns the total demand that the other VMs reported.
-func (l *Limiter) othersDemand(now time.Time, name model.TeamName) float64 {
-	total := 0.0
-	for _, r := range l.peers {
-		if !r.reports.isExpired(now) {
-			total += r.reports.settledDemand(now, name)
+// othersDemand returns the total demand for a team that the other VMs reported, and how many failure domains reported any figure for it.
+func (l *Limiter) othersDemand(now time.Time, name model.TeamName) (total float64, reported int) {
+	var domains []model.Domain
+	for _, p := range l.peers {
+		demand, known := p.reports.knownDemand(now, name)
+		if !known || p.reports.isExpired(now) {
+			continue
 		}
+		total += demand
+		if !slices.Contains(domains, p.domain()) {
+			domains = append(domains, p.domain())
+		}
+	}
+	return total, len(domains)
+}
+
+// domain returns the failure domain of the VM, or a name of its own if it told none.
+func (p peerHistory) domain() model.Domain {
+	if last := p.reports[len(p.reports)-1].report; last.Domain != "" {
+		return last.Domain
 	}
-	return total
+	return model.Domain("VM " + p.vm)
 }
 
 // RecordReport records a report of another VM and drops the VMs whose last report no longer counts.
@@ -166,7 +187,7 @@
 func (l *Limiter) Report(now time.Time, self model.VMID) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	report := Report{VM: self, Demand: map[model.TeamName]float64{}}
+	report := Report{VM: self, Domain: l.config.Domain, Demand: map[model.TeamName]float64{}}
 	for name, t := range l.teams {
 		if demand := t.demand.read(now); demand >= minReportedDemand {
 			report.Demand[name] = float64(int(demand*100)) / 100
@@ -176,6 +197,20 @@
 	return report
 }
 
+// ReportFor returns the demand in this VM's last report for the given teams, 0 for a team that is not in it.
+func (l *Limiter) ReportFor(self model.VMID, teams []model.TeamName) Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	report := Report{VM: self, Domain: l.config.Domain, Demand: map[model.TeamName]float64{}}
+	for _, name := range teams {
+		report.Demand[name] = 0
+		if len(l.own) > 0 {
+			report.Demand[name] = l.own[len(l.own)-1].report.Demand[name]
+		}
+	}
+	return report
+}
+
 func (h history) add(t timedReport) history {
 	h = append(h, t)
 	if len(h) > maxReports {
@@ -194,6 +229,16 @@
 	return 0
 }
 
+// knownDemand returns the demand for a team in the newest report that all VMs have received by now and that has a figure for it, if any.
+func (h history) knownDemand(now time.Time, name model.TeamName) (float64, bool) {
+	for i := len(h) - 1; i >= 0; i-- {
+		if demand, known := h[i].report.Demand[name]; known && now.Sub(h[i].at) >= reportSettleTime {
+			return demand, true
+		}
+	}
+	return 0, false
+}
+
 // isExpired reports whether the last report is so old that the demand of the VM no longer counts.
 func (h history) isExpired(now time.Time) bool {
 	return len(h) == 0 || now.Sub(h[len(h)-1].at) > reportTTL
--- a/share/limiter_test.go
+++ b/share/limiter_test.go
@@ -25,7 +25,9 @@
 type simulation struct {
 	limiters    []*Limiter
 	partitioned map[int]bool
-	random      *rand.Rand
+	// unreported holds the limiters that get no reports.
+	unreported map[int]bool
+	random     *rand.Rand
 }
 
 func newSimulation(now time.Time, domains int, slack float64, team policy.Team) *simulation {
@@ -37,6 +39,14 @@
 	return f
 }
 
+// replaceLimiter lets a new VM admit for a failure domain, to which the others do not report.
+func (f *simulation) replaceLimiter(i int, now time.Time, team policy.Team) {
+	domains := len(f.limiters)
+	find := func(model.TeamName) (policy.Team, bool) { return team, true }
+	f.limiters[i] = New(now, Config{Weight: func() float64 { return Weight(domains) }, Slack: 20, Team: find})
+	f.unreported = map[int]bool{i: true}
+}
+
 // reaches reports whether a datagram arrives.
 func (f *simulation) reaches(from, to int) bool {
 	return from != to && f.partitioned[from] == f.partitioned[to] && f.random.Float64() >= lostDatagrams
@@ -46,7 +56,7 @@
 	for i, from := range f.limiters {
 		report := from.Report(now, model.VMID(fmt.Sprint(i)))
 		for j, to := range f.limiters {
-			if f.reaches(i, j) {
+			if f.reaches(i, j) && !f.unreported[j] {
 				to.RecordReport(now, report)
 			}
 		}
