The end of the log neither ends the process with a panic nor waits for a blocked output

Cause: Close closed the channel of the lines while goroutines of the node (a relay, a session of a late stop) still logged. Close also waited for an output that takes no more lines, without a bound: the process then runs until SIGKILL.

Now later lines are dropped, and Close waits for 200 ms at most. Both tests fail before (one by the panic, one by the wait). The other tests of the package wait for the writer themselves, since Close may return before it on a busy machine; what they require is unchanged.

--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -24,6 +24,12 @@
 	return w.text.Write(p)
 }
 
+// closeAndWait closes a ring and waits until all lines are written, also on a busy machine.
+func closeAndWait(ring *Ring) {
+	ring.Close()
+	<-ring.done
+}
+
 func TestLoggingNeverBlocksAndCountsWhatItDrops(t *testing.T) {
 	const size = 10
 	out := &blockedWriter{open: make(chan struct{})}
@@ -39,7 +45,7 @@
 	require.Eventually(t, func() bool { return ring.pending.Load() == 0 }, time.Second, time.Millisecond)
 	_, err := ring.Write([]byte("level=info msg=last\n"))
 	require.NoError(t, err)
-	ring.Close()
+	closeAndWait(ring)
 	require.Contains(t, out.text.String(), "log lines dropped")
 	require.LessOrEqual(t, strings.Count(out.text.String(), "msg=line"), size)
 	require.Contains(t, out.text.String(), "msg=last")
@@ -57,7 +63,7 @@
 		require.NoError(t, err)
 	}
 	close(out.open)
-	ring.Close()
+	closeAndWait(ring)
 	require.Equal(t, size, strings.Count(out.text.String(), "msg=line"))
 }
 
@@ -67,9 +73,41 @@
 	require.NoError(t, err)
 	logger.Debug("hidden")
 	logger.Info("statement", "id", "q1", "outcome", "Done")
-	ring.Close()
+	closeAndWait(ring)
 	require.Contains(t, out.String(), "level=info msg=statement id=q1 outcome=Done")
 	require.NotContains(t, out.String(), "hidden")
 	_, _, err = New(&out, "loud")
 	require.Error(t, err)
 }
+
+func TestWriteAfterCloseIsDropped(t *testing.T) {
+	var out bytes.Buffer
+	ring := NewRing(&out, 10)
+	_, err := ring.Write([]byte("msg=last\n"))
+	require.NoError(t, err)
+	closeAndWait(ring)
+	for range 20 {
+		_, err = ring.Write([]byte("msg=late\n"))
+		require.NoError(t, err)
+	}
+	require.Equal(t, "msg=last\n", out.String())
+}
+
+// TestCloseDoesNotWaitForABlockedOutput guards against a process that does not end because nobody reads its log.
+func TestCloseDoesNotWaitForABlockedOutput(t *testing.T) {
+	out := &blockedWriter{open: make(chan struct{})}
+	ring := NewRing(out, 10)
+	_, err := ring.Write([]byte("msg=line\n"))
+	require.NoError(t, err)
+	closed := make(chan struct{})
+	go func() {
+		ring.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(closeTimeout + time.Second):
+		t.Error("Close waits")
+	}
+	close(out.open)
+}
--- a/logs/ring.go
+++ b/logs/ring.go
@@ -5,10 +5,15 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// maxBatchBytes is the size of a write at which no more lines are added to it.
-const maxBatchBytes = 16 << 10
+const (
+	// maxBatchBytes is the size of a write at which no more lines are added to it.
+	maxBatchBytes = 16 << 10
+	// closeTimeout bounds the wait of Close for a slow output.
+	closeTimeout = 200 * time.Millisecond
+)
 
 // Ring is a writer that buffers a bounded number of lines and writes them from one goroutine. Lines beyond the bound are dropped and
 // counted.
@@ -18,13 +23,14 @@
 	// pending counts the buffered lines, including those of a write in progress; dropped counts the lines dropped since the last report.
 	pending   atomic.Int64
 	dropped   atomic.Int64
-	done      chan struct{}
 	closeOnce sync.Once
+	// closing is closed by Close, and done once the remaining lines are written.
+	closing, done chan struct{}
 }
 
 // NewRing returns a ring that buffers up to size lines for out, including those of a write in progress.
 func NewRing(out io.Writer, size int) *Ring {
-	r := &Ring{lines: make(chan []byte, size), out: out, done: make(chan struct{})}
+	r := &Ring{lines: make(chan []byte, size), out: out, closing: make(chan struct{}), done: make(chan struct{})}
 	go r.drain()
 	return r
 }
@@ -41,27 +47,53 @@
 	return len(line), nil
 }
 
-// Close writes the remaining lines and waits for that; Write must not be called afterwards.
+// Close writes the remaining lines and waits for that, but no longer than closeTimeout. Later lines are dropped.
 func (r *Ring) Close() {
-	r.closeOnce.Do(func() { close(r.lines) })
-	<-r.done
+	r.closeOnce.Do(func() { close(r.closing) })
+	select {
+	case <-r.done:
+	case <-time.After(closeTimeout):
+	}
 }
 
+// drain writes lines until Close is called, and then the remaining ones.
 func (r *Ring) drain() {
 	defer close(r.done)
-	for line := range r.lines {
-		batch, count := r.collect(line)
-		if n := r.dropped.Swap(0); n > 0 {
-			batch = append(batch, "level=warn msg=\"log lines dropped\" count="+strconv.FormatInt(n, 10)+"\n"...)
+	for {
+		select {
+		case line := <-r.lines:
+			r.write(line)
+		case <-r.closing:
+			r.writeRemaining()
+			return
 		}
-		if _, err := r.out.Write(batch); err != nil {
-			// The error cannot be reported anywhere else; the next report counts the lines as dropped.
-			r.dropped.Add(count)
+	}
+}
+
+func (r *Ring) writeRemaining() {
+	for {
+		select {
+		case line := <-r.lines:
+			r.write(line)
+		default:
+			return
 		}
-		r.pending.Add(-count)
 	}
 }
 
+// write writes a line and those that wait after it.
+func (r *Ring) write(line []byte) {
+	batch, count := r.collect(line)
+	if n := r.dropped.Swap(0); n > 0 {
+		batch = append(batch, "level=warn msg=\"log lines dropped\" count="+strconv.FormatInt(n, 10)+"\n"...)
+	}
+	if _, err := r.out.Write(batch); err != nil {
+		// The error cannot be reported anywhere else; the next report counts the lines as dropped.
+		r.dropped.Add(count)
+	}
+	r.pending.Add(-count)
+}
+
 // collect joins first and the lines that wait after it, up to maxBatchBytes, and returns the number of lines.
 func (r *Ring) collect(first []byte) ([]byte, int64) {
 	batch, count := first, int64(1)
