Soak: the audit reads the log of each group at one moment at which it has a primary

Cause: the check. The audit took seconds, the VMs ran on, and two groups changed their primary 5 and 7 s after it had begun; a write that was looked up while a group had no primary counted as not kept. It waited for the primaries before, but not while it read. The log of each group is read once now, when it has a primary; each write is compared as before. The new test fails without the change.

--- a/soak/audit_test.go
+++ b/soak/audit_test.go
@@ -106,3 +106,27 @@
 	require.Empty(t, s.history.violations)
 	require.True(t, s.havePrimaries())
 }
+
+// TestAuditDuringASwitchFindsWhatIsKept guards against writes that count as lost although they are kept: a planned switch began after the audit
+// had, and for a moment its group had no primary.
+func TestAuditDuringASwitchFindsWhatIsKept(t *testing.T) {
+	members := []model.Instance{{Name: "i-1", Group: "g", Role: model.RolePrimary}, {Name: "i-2", Group: "g", Role: model.RoleReplica}}
+	cluster := stand.NewCluster(stand.ClusterConfig{Group: "g", Instances: members, PromoteTime: 100 * time.Millisecond})
+	conn, err := cluster.Dial(time.Now().Add(time.Second), members[0], "t")
+	require.NoError(t, err)
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		cluster.Replicate(time.Now())
+	}()
+	_, err = conn.Exchange(time.Now().Add(time.Second), model.Query{ID: "w", Text: "WRITE item 1"})
+	require.NoError(t, err)
+	_, err = conn.Demote(time.Now().Add(time.Second), 2)
+	require.NoError(t, err)
+	s := &site{history: newHistory(), clusters: []*stand.Cluster{cluster}, orders: stand.NewOrders(1)}
+	s.history.recordWrite("item", "w", "1")
+	s.history.recordOutcome("item", "w", outcomeAcked)
+	require.False(t, s.havePrimaries())
+	require.NoError(t, cluster.Promote(t.Context(), model.PromoteOrder{Group: "g", Target: "i-2", Fence: 1}))
+	s.audit()
+	require.Empty(t, s.history.violations)
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -178,6 +178,7 @@
 		vm.mu.Unlock()
 	}
 	s.checkOrders()
+	kept := s.keptWrites()
 	for _, cluster := range s.clusters {
 		for _, violation := range cluster.OrderViolations() {
 			s.history.addViolation("cluster: %s", violation)
@@ -188,7 +189,7 @@
 	s.checkPromotions()
 	for item, versions := range s.history.items {
 		for _, v := range versions {
-			s.checkWrite(item, v)
+			s.checkWrite(item, v, kept)
 		}
 	}
 	s.history.checkRates(teamCrew, crewRate, crewRate)
@@ -208,11 +209,27 @@
 	}
 }
 
-func (s *site) checkWrite(item string, v writtenValue) {
-	count := 0
+// keptWrites returns how many times each write is kept. The VMs still run and may replace a primary now: the log of each group is read at one
+// moment at which it has a primary, for which keptWrites waits.
+func (s *site) keptWrites() map[model.RequestID]int {
+	all := map[model.RequestID]int{}
 	for _, cluster := range s.clusters {
-		count += cluster.CommitCount(v.id)
+		kept, found := cluster.Kept()
+		for until := time.Now().Add(recoveryTimeout); !found && time.Now().Before(until); kept, found = cluster.Kept() {
+			time.Sleep(pollInterval)
+		}
+		if !found {
+			s.history.addViolation("recovery: a group has no primary %s after the audit began", recoveryTimeout)
+		}
+		for id, count := range kept {
+			all[id] += count
+		}
 	}
+	return all
+}
+
+func (s *site) checkWrite(item string, v writtenValue, kept map[model.RequestID]int) {
+	count := kept[v.id]
 	switch {
 	case v.outcome == outcomeAcked && count == 0:
 		s.history.addViolationLocked("lost: %s (%s) was acknowledged and is not kept", v.value, v.id)
--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -161,6 +162,18 @@
 	return primary.log.counts[id]
 }
 
+// Kept returns how many times each write is in the log of the primary of the highest term, at one moment; it returns false while there is no
+// primary.
+func (c *Cluster) Kept() (map[model.RequestID]int, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	primary := c.primary()
+	if primary == nil {
+		return nil, false
+	}
+	return maps.Clone(primary.log.counts), true
+}
+
 // end returns the end of the log.
 func (d *database) end() model.Mark { return d.log.end() }
 
