Rates: a VM that was stopped or that admits in place of another saves up no tokens

Cause: both VMs' buckets fill at the failure domain's rate at the same time. The first one's filled while it was stopped, and that of the other filled whenever it didn't admit, so each turn brought a burst.

Now a VM that didn't run for 250 ms doesn't fill its buckets for that time, and one that admits in place of another uses half of the even share at most, saves up a tenth of a second and gets more from other failure domains, which take it out of their own buckets.

--- a/peers/ratelimiter.go
+++ b/peers/ratelimiter.go
@@ -121,7 +121,7 @@
 	_, domains := r.config.Rankings.Counts(now, r.config.Domain)
 	ranked := r.config.Rankings.Of(now, r.config.Domain, share.AdmitterRole(limits.Name))
 	if len(ranked) == 0 || ranked[0].Name != r.config.Self {
-		return share.BucketStart{FillFrom: share.FirstTokenStart(now, limits, domains)}
+		return share.StandInStart(now, limits, domains)
 	}
 	changedAt := r.config.Rankings.ChangedAt(now)
 	if changedAt.Sub(r.started) < startupWindow {
@@ -210,6 +210,8 @@
 func (r *RateLimiter) requestTokens(ctx context.Context) {
 	for retry.Sleep(ctx, tokenRequestInterval) {
 		now := clock.Now()
+		r.config.Limiter.NoteRunning(now)
+		r.fallback.NoteRunning(now)
 		requests := map[netip.AddrPort][]share.TokenTransfer{}
 		for _, request := range r.config.Limiter.TokenRequests(now, r.config.Self) {
 			others := r.remoteAdmitters(now, request.Team)
--- a/share/admitter.go
+++ b/share/admitter.go
@@ -36,7 +36,15 @@
 
 // FirstTokenStart returns when a bucket that a VM takes over must have started to fill so that it holds one token at now.
 func FirstTokenStart(now time.Time, limits policy.Team, domains int) time.Time {
-	rate := limits.Rate * Weight(domains)
+	return firstTokenStart(now, limits.Rate*Weight(domains))
+}
+
+// StandInStart returns how the bucket of a VM begins that admits in place of another: with one token at now.
+func StandInStart(now time.Time, limits policy.Team, domains int) BucketStart {
+	return BucketStart{FillFrom: firstTokenStart(now, standInShare*limits.Rate*Weight(domains)), StandIn: true}
+}
+
+func firstTokenStart(now time.Time, rate float64) time.Time {
 	if rate <= 0 {
 		return now
 	}
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -16,6 +16,16 @@
 	// reportSettleTime is how old a report must be before a VM relies on it, even on its own report. By then all other VMs have received
 	// the report, so that the shares never add up to more than the rate while demand rises everywhere at once.
 	reportSettleTime = 2200 * time.Millisecond
+	// maxSilence is how long a VM that runs may leave its limiter alone. After a longer time it was stopped, and another VM admitted in its
+	// place, so its buckets have not filled meanwhile.
+	maxSilence = 250 * time.Millisecond
+	// standInShare is the share of the failure domain's even share that a VM uses at most while it admits in place of another, because that one
+	// may be slow only and admit for a part of the failure domain. It can get further tokens from other failure domains.
+	standInShare = 0.5
+	// minReports is how many reports a VM has made at least when it answers that it has no demand. One that has just started doesn't know yet.
+	minReports = 3
+	// standInReserve is the time for which the bucket of a VM that admits in place of another saves up tokens, besides one token.
+	standInReserve = 100 * time.Millisecond
 	// maxReports bounds the reports that are kept of each VM.
 	maxReports = 8
 )
@@ -50,6 +60,9 @@
 		// AfterStart is set if this VM has just started, perhaps together with all others, so that it does not know what the failure domain
 		// admitted before; see StartTokens.
 		AfterStart bool
+		// StandIn is set if this VM admits in place of another, which has a bucket of its own; this VM uses
+		// a part of the even share then, and its bucket saves up little.
+		StandIn bool
 	}
 
 	// Limiter admits operations within a VM's share of each team's rate; it is safe for concurrent use.
@@ -57,7 +70,9 @@
 		config  Config
 		started time.Time
 
-		mu    sync.Mutex
+		mu sync.Mutex
+		// ranAt is when this VM last showed that it runs.
+		ranAt time.Time
 		teams map[model.TeamName]*team
 		// peers holds the reports of the other VMs, and own those of this one.
 		peers []peerHistory
@@ -95,6 +110,8 @@
 	team struct {
 		demand meter
 		bucket bucket
+		// standIn is set while this VM admits for the team in place of another.
+		standIn bool
 	}
 )
 
@@ -107,6 +124,7 @@
 func (l *Limiter) Admit(now time.Time, limits policy.Team, start BucketStart) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.noteRunning(now)
 	t := l.team(limits, start)
 	domainRate, _ := l.refill(now, limits, t)
 	t.demand.count(now)
@@ -115,19 +133,41 @@
 	return Decision{Admitted: ok, RetryAfter: after, Part: domainRate, Demand: t.demand.read(now), Fleet: others}
 }
 
+// NoteRunning records that this VM runs; it has to be called at intervals shorter than maxSilence.
+func (l *Limiter) NoteRunning(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.noteRunning(now)
+}
+
+// noteRunning is NoteRunning for callers that hold the lock. If the VM was stopped, its buckets fill from now on.
+func (l *Limiter) noteRunning(now time.Time) {
+	if !l.ranAt.IsZero() && now.Sub(l.ranAt) > maxSilence {
+		for _, t := range l.teams {
+			t.bucket.filledAt = now
+		}
+	}
+	l.ranAt = now
+}
+
 func (l *Limiter) team(limits policy.Team, start BucketStart) *team {
 	t := l.teams[limits.Name]
-	if t != nil {
-		return t
+	if t == nil {
+		t = l.newTeam(limits, start)
+		l.teams[limits.Name] = t
 	}
+	t.standIn = start.StandIn
+	return t
+}
+
+func (l *Limiter) newTeam(limits policy.Team, start BucketStart) *team {
 	if start.FillFrom.Before(l.started) {
 		start.FillFrom = l.started
 	}
-	t = &team{bucket: bucket{filledAt: start.FillFrom}}
+	t := &team{bucket: bucket{filledAt: start.FillFrom}}
 	if start.AfterStart {
 		t.bucket.tokens = StartTokens(limits, l.config, l.config.Weight())
 	}
-	l.teams[limits.Name] = t
 	return t
 }
 
@@ -138,7 +178,12 @@
 	others, reported := l.othersDemand(now, limits.Name)
 	known := min(1, float64(1+reported)*weight)
 	domainRate = Split(known*limits.Rate, l.own.settledDemand(now, limits.Name), others, weight/known)
-	size = BurstSize(limits, l.config.Slack, domainRate, weight)
+	if t.standIn {
+		domainRate = min(domainRate, standInShare*weight*limits.Rate)
+		size = 1 + domainRate*standInReserve.Seconds()
+	} else {
+		size = BurstSize(limits, l.config.Slack, domainRate, weight)
+	}
 	t.bucket.refill(now, domainRate, size)
 	return domainRate, size
 }
@@ -187,6 +232,7 @@
 func (l *Limiter) Report(now time.Time, self model.VMID) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.noteRunning(now)
 	report := Report{VM: self, Domain: l.config.Domain, Demand: map[model.TeamName]float64{}}
 	for name, t := range l.teams {
 		if demand := t.demand.read(now); demand >= minReportedDemand {
@@ -197,15 +243,15 @@
 	return report
 }
 
-// ReportFor returns the demand in this VM's last report for the given teams, 0 for a team that is not in it.
+// ReportFor returns the demand in this VM's last report for the given teams, 0 for a team that is not in it. A VM that has just started leaves
+// such a team out.
 func (l *Limiter) ReportFor(self model.VMID, teams []model.TeamName) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	report := Report{VM: self, Domain: l.config.Domain, Demand: map[model.TeamName]float64{}}
 	for _, name := range teams {
-		report.Demand[name] = 0
-		if len(l.own) > 0 {
-			report.Demand[name] = l.own[len(l.own)-1].report.Demand[name]
+		if demand := l.own.lastDemand(name); demand > 0 || len(l.own) >= minReports {
+			report.Demand[name] = demand
 		}
 	}
 	return report
@@ -219,6 +265,14 @@
 	return h
 }
 
+// lastDemand returns the demand in the last report.
+func (h history) lastDemand(name model.TeamName) float64 {
+	if len(h) == 0 {
+		return 0
+	}
+	return h[len(h)-1].report.Demand[name]
+}
+
 // settledDemand returns the demand in the newest report that all VMs have received by now.
 func (h history) settledDemand(now time.Time, name model.TeamName) float64 {
 	for i := len(h) - 1; i >= 0; i-- {
--- a/share/silence_test.go
+++ b/share/silence_test.go
@@ -62,3 +62,37 @@
 	}
 	require.LessOrEqual(t, part, 2*team.Rate/3)
 }
+
+// TestStoppedVMSavesUpNothing guards against a bucket that fills while its VM is stopped and another one admits in its place.
+func TestStoppedVMSavesUpNothing(t *testing.T) {
+	team := policy.Team{Name: "crew", Rate: 20, Burst: 20}
+	l := New(time.Unix(0, 0), startConfig(1, func(model.TeamName) (policy.Team, bool) { return team, true }))
+	now := time.Unix(100, 0)
+	for l.Admit(now, team, BucketStart{}).Admitted {
+	}
+	require.False(t, l.Admit(now.Add(3*time.Second), team, BucketStart{}).Admitted, "it was stopped")
+	for at := 3 * time.Second; at < 3500*time.Millisecond; at += 50 * time.Millisecond {
+		l.TokenRequests(now.Add(at), "self")
+	}
+	require.True(t, l.Admit(now.Add(3500*time.Millisecond), team, BucketStart{}).Admitted, "it runs again")
+}
+
+// TestStandInSavesUpNothing guards against a burst at each time that a VM admits in place of another, which has its own bucket.
+func TestStandInSavesUpNothing(t *testing.T) {
+	team := policy.Team{Name: "crew", Rate: 20, Burst: 20}
+	l := New(time.Unix(0, 0), startConfig(1, func(model.TeamName) (policy.Team, bool) { return team, true }))
+	start := time.Unix(100, 0)
+	for at := time.Duration(0); at < 4*time.Second; at += 50 * time.Millisecond {
+		now := start.Add(at)
+		l.TokenRequests(now, "self")
+		if at%(2*time.Second) != 0 {
+			continue
+		}
+		admitted := 0
+		for l.Admit(now, team, StandInStart(now, team, 1)).Admitted {
+			admitted++
+		}
+		require.Positive(t, admitted, "after %s", at)
+		require.LessOrEqual(t, admitted, 1+int(team.Rate*standInReserve.Seconds()), "after %s", at)
+	}
+}
--- a/share/transfer.go
+++ b/share/transfer.go
@@ -30,6 +30,7 @@
 func (l *Limiter) TokenRequests(now time.Time, self model.VMID) []TokenTransfer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.noteRunning(now)
 	var requests []TokenTransfer
 	for name, t := range l.teams {
 		limits, known := l.config.Team(name)
@@ -59,6 +60,7 @@
 	if !known {
 		return grant
 	}
+	l.noteRunning(now)
 	t := l.team(limits, start)
 	l.refill(now, limits, t)
 	spare := t.bucket.tokens
