All VMs have released a primary only if all registrations before the announcement are known

What callers saw: nothing yet. A VM that registered just before an announcement may write and read at the old primary for up to 2 s after the promotion: ONE (writes acknowledged at the old primary), LOST and STALE. Cause: the VMs that have to confirm are those of the cached table, which may be older than the announcement: a registration that the store had taken before it was missing, and the confirmations of the others counted as all. That VM's own table had its registration and no intent, so it held a lease. Change: as long as the cached table is older than the row of the announcement, the confirmations do not count as all; the wait for paused replicas and expired leases goes on beside that. Ruled out: a VM that registers after the announcement; the table that has its registration has the intent too.

Before: TestReleasesOfOlderRegistrationsAreNotAll red, 1 of 1 run. After: green; coord and elect green; 13 tests of replacements in node green, 1 of 1 run at a load of 146.

--- a/coord/announce_test.go
+++ b/coord/announce_test.go
@@ -8,6 +8,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
+	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/elect"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/stand"
 	"github.com/crocusshore/crocusshore/state"
@@ -74,3 +76,19 @@
 	_, err := r.writeRecord(t.Context(), state.PrimaryRecord{Group: "g", Term: 2, Primary: "i-3"})
 	require.ErrorIs(t, err, model.ErrConflict)
 }
+
+// TestReleasesOfOlderRegistrationsAreNotAll guards against a replacement that does not ask a VM which may use the old primary: it registered before
+// the announcement, and the cached table of the VM that replaces the primary was older.
+func TestReleasesOfOlderRegistrationsAreNotAll(t *testing.T) {
+	rows := stand.NewRows()
+	r := newWriter(t, rows, func(*leaseClaimant, state.CoordinatorLease) { newLeaseClaimant(t, rows, "x", "first").register() })
+	require.NoError(t, r.announce(t.Context()))
+	r.releases = map[model.VMID]elect.Release{"a": {VM: "a"}}
+	require.False(t, r.allReleased(), "the table may be older than a registration")
+	page, err := r.s.config.Rows.Rows(t.Context(), state.Table)
+	require.NoError(t, err)
+	require.NoError(t, r.s.config.Cache.ApplyRows(page.Version, true, page.Rows, clock.Now()))
+	require.False(t, r.allReleased(), "the other VM has not confirmed")
+	r.releases["x"] = elect.Release{VM: "x"}
+	require.True(t, r.allReleased())
+}
--- a/coord/release.go
+++ b/coord/release.go
@@ -52,8 +52,12 @@
 	r.releases[release.VM] = release
 }
 
-// allReleased reports whether every registered VM confirmed.
+// allReleased reports whether every registered VM confirmed. A VM may use the old primary if it registered before the announcement, so this VM
+// has to know all registrations until then.
 func (r *replacement) allReleased() bool {
+	if r.s.config.Cache.TableVersion() < r.record.Version {
+		return false
+	}
 	for name := range r.s.config.Cache.Snapshot().VMs {
 		if _, done := r.releases[name]; !done {
 			return false
