An order is repeated only if no replica's pause has ended since the comparison

What callers saw: nothing yet; acknowledged commits would be missing at the new primary (LOST) and writes go on at the old one (ONE). Cause: an order without an answer is repeated after 3.5 s, and only the target was asked again. Another replica that started again since the comparison confirms commits of the old primary, and shows a VM that has not heard of the replacement that it may use that primary (a term check). A first order that was lost could do no harm; the repeated one promotes over those commits. Change: unless all VMs released the old primary, an order is repeated only while all replicas are still paused; else the run ends, and the next one waits until the first order cannot be under way and compares again. Ruled out: the same after all VMs released it.

--- a/coord/promote.go
+++ b/coord/promote.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/elect"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/retry"
 	"github.com/crocusshore/crocusshore/state"
@@ -71,13 +72,17 @@
 	return err
 }
 
-// isUnchanged reports whether the target still holds what it held when it was chosen: it has neither started again nor lost its pause.
+// isUnchanged reports whether the target may still be promoted. It holds what it held when it was chosen: it has neither started again nor lost
+// its pause. And either all VMs have released the old primary, or no replica has started again, which could confirm commits to a VM that has not.
 func (r *replacement) isUnchanged(target model.Instance) bool {
 	reported, err := r.s.status(target)
 	if err != nil {
 		return false
 	}
-	return reported.Held >= r.record.Next.Term || (r.handedOver && !reported.Received.Before(r.final))
+	if reported.Held < r.record.Next.Term && (!r.handedOver || reported.Received.Before(r.final)) {
+		return false
+	}
+	return r.allReleased() || elect.AllPaused(elect.RecheckPaused(r.callReplicas(model.InstanceConn.Status), r.record.Next.Term))
 }
 
 // awaitOrders waits until no order for the group can be under way, or the target of one has been promoted. An order takes effect whenever it
