--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -23,7 +23,8 @@
 		// StepDownDelay is how long after a promotion the old primary becomes a replica. An old primary that is Down or Unresponsive
 		// at that time becomes one StepDownDelay, or a little more, after it can reach the new primary again.
 		StepDownDelay time.Duration
-		// FollowDelay is how long after a promotion the other replicas go on to follow the old primary.
+		// FollowDelay is how long after a promotion the other replicas do not know of it: they go on to follow the old primary and stay paused.
+		// With 0, all pauses end with the promotion.
 		FollowDelay time.Duration
 		// ServiceTime is how long a statement of a caller occupies a slot; with 0, statements occupy no slots.
 		ServiceTime time.Duration
@@ -197,6 +198,9 @@
 		if p.term > d.term {
 			d.log.truncate(d.log.commonPrefix(&p.log))
 			d.term = p.term
+			if d.pausedTerm <= p.term {
+				d.pausedTerm = 0
+			}
 		}
 		for next := len(d.log.entries); next < len(p.log.entries) && now.Sub(p.log.entries[next].at) >= c.config.ReplicationLag; next++ {
 			d.log.add(p.log.entries[next])
@@ -242,7 +246,7 @@
 	return nil
 }
 
-// becomePrimary makes an instance the primary of a new term and ends all pauses. It records as lost the acknowledged commits that are not in
+// becomePrimary makes an instance the primary of a new term and ends its pause, and those of the others as FollowDelay says. It records as lost the acknowledged commits that are not in
 // the instance's log.
 func (c *Cluster) becomePrimary(target *database) {
 	c.mu.Lock()
@@ -256,7 +260,9 @@
 	term++
 	target.term, target.instance.Role, target.pausedTerm = term, model.RolePrimary, 0
 	for _, d := range c.databases {
-		d.pausedTerm = 0
+		if c.config.FollowDelay == 0 {
+			d.pausedTerm = 0
+		}
 	}
 	c.promoted, c.promotedAt = target, time.Now()
 	c.notifyChanged(target)
--- a/stand/latecommit_test.go
+++ b/stand/latecommit_test.go
@@ -67,3 +67,21 @@
 	require.Empty(t, replica.log.entries)
 	require.Equal(t, model.Term(2), replica.term)
 }
+
+// TestPauseLastsUntilTheReplicaKnowsOfThePromotion guards against a stand-in that acknowledges, at a replaced primary, what a paused replica
+// could not have received.
+func TestPauseLastsUntilTheReplicaKnowsOfThePromotion(t *testing.T) {
+	const followDelay = 50 * time.Millisecond
+	cluster, _ := newTestCluster()
+	cluster.config.FollowDelay, cluster.config.StepDownDelay = followDelay, time.Second
+	old, replica := cluster.databases["a"], cluster.databases["b"]
+	replica.pausedTerm = 2
+	old.log.add(commit{mark: model.Mark{Term: 1, Position: 1}})
+	cluster.becomePrimary(cluster.databases["c"])
+	cluster.Replicate(cluster.promotedAt)
+	require.Empty(t, replica.log.entries)
+	require.Equal(t, model.Term(2), replica.pausedTerm)
+	cluster.Replicate(cluster.promotedAt.Add(followDelay))
+	require.Zero(t, replica.pausedTerm)
+	require.Equal(t, model.Term(2), replica.term)
+}
