Record of a primary: a replica whose address is used again has ended

No primary for 6 s at the second failure. Cause: the former name of the first primary stayed in the record for 20 s, as a replica that may still confirm commits, so the comparison of all paused replicas did not count and the other way had to wait for VMs whose statements were unanswered. Change: an absent replica counts as gone at once if another instance is registered at its address. As before it is dropped from the record only after a remaining replica was found to hold everything that the primary held afterwards. A VM that started after the absence waits 20 s as before. A replica away and the primary failing a second later: as without this change.

--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -40,8 +40,8 @@
 // departed returns the changes without the absent replicas that may still confirm commits, and whether there are replicas that have left.
 func (s *Supervisor) departed(now time.Time, group model.GroupName, changes elect.ReplicaChanges) (elect.ReplicaChanges, bool) {
 	if !s.config.Cache.AbsentReplicasGone(now, group) {
-		changes.Gone = nil
-		return changes, len(changes.Restarted) > 0
+		changes.Gone = s.config.Cache.EndedReplicas(changes.Gone)
+		return changes, len(changes.Restarted)+len(changes.Gone) > 0
 	}
 	return changes, !changes.Complete()
 }
--- a/state/cache.go
+++ b/state/cache.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,8 @@
 		expired map[model.InstanceName]time.Time
 		// replicaRemovedAt holds when a replica of a group was last removed.
 		replicaRemovedAt map[model.GroupName]time.Time
+		// formerAddresses holds the addresses of the instances that were removed.
+		formerAddresses map[model.InstanceName]netip.AddrPort
 		// instancesCurrentAt is the newest instant at which no registration was newer than those applied here, and instancesReadSince the
 		// instant since which the registrations have been read without a gap of maxUnreadTime.
 		instancesCurrentAt time.Time
@@ -60,6 +63,7 @@
 		confirmed:        map[model.GroupName]int64{},
 		expired:          map[model.InstanceName]time.Time{},
 		replicaRemovedAt: map[model.GroupName]time.Time{},
+		formerAddresses:  map[model.InstanceName]netip.AddrPort{},
 	}
 	c.snapshot.Store(newSnapshot())
 	return c
@@ -139,6 +143,7 @@
 	if gone, known := next.Instances[name]; known && next.Primaries[gone.Group].Primary != name {
 		c.replicaRemovedAt[gone.Group] = now
 	}
+	c.formerAddresses[name] = next.Instances[name].Address
 	delete(next.Instances, name)
 	c.snapshot.Store(next)
 	return true
--- a/state/replicas.go
+++ b/state/replicas.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/crocusshore/crocusshore/elect"
@@ -44,3 +45,20 @@
 	}
 	return c.absenceWait(now, time.Time{}) <= 0 && now.Sub(since) >= absentReplicaWindow
 }
+
+// EndedReplicas returns those of the absent replicas that confirm no more commits because another instance is registered at their address.
+func (c *Cache) EndedReplicas(absent []model.Incarnation) []model.Incarnation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	used := map[netip.AddrPort]bool{}
+	for _, i := range c.snapshot.Load().Instances {
+		used[i.Address] = true
+	}
+	var ended []model.Incarnation
+	for _, r := range absent {
+		if address, known := c.formerAddresses[r.Name]; known && address.IsValid() && used[address] {
+			ended = append(ended, r)
+		}
+	}
+	return ended
+}
--- a/state/replicas_test.go
+++ b/state/replicas_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -92,3 +93,18 @@
 	_, _, ok := cache.Replicas("g")
 	require.False(t, ok)
 }
+
+// TestReplicaWhoseAddressIsUsedAgainHasEnded guards against a group that cannot replace its primary for 20 s after a replica came back under another
+// name: the former one was counted as one that may still confirm commits.
+func TestReplicaWhoseAddressIsUsedAgainHasEnded(t *testing.T) {
+	cache := New(Config{})
+	address, other := netip.MustParseAddrPort("10.0.0.1:5000"), netip.MustParseAddrPort("10.0.0.2:5000")
+	former := model.Instance{Name: "r", Group: "g", Address: address}
+	cache.ApplyInstances(1, true, []model.Instance{former, {Name: "p", Group: "g", Address: other}}, nil, at(0))
+	absent := []model.Incarnation{former.Incarnation(), {Name: "unknown"}}
+	cache.ApplyInstances(2, false, nil, []model.InstanceName{"r"}, at(1000))
+	require.True(t, cache.RemoveInstance(at(4000), "r"))
+	require.Empty(t, cache.EndedReplicas(absent), "it may be cut off from the store")
+	cache.ApplyInstances(3, false, []model.Instance{{Name: "again", Group: "g", Address: address}}, nil, at(5000))
+	require.Equal(t, []model.Incarnation{former.Incarnation()}, cache.EndedReplicas(absent))
+}
