A promotion is not taken for the end of a RESUME that may be under way

Cause: recordCarriedOut settles the only order of a group that may be under way, whatever its kind. A handover ends the pauses first; if one replica did not answer the RESUME and the promotion after it was answered, the RESUME was the only order left, and was settled by the promotion: the lease was given up and the next comparison did not wait. With both unanswered, neither was settled, and the lease was kept for 13 s although the promotion was seen. Change: only orders for a promotion are settled by a promotion.

--- a/coord/orders.go
+++ b/coord/orders.go
@@ -66,14 +66,14 @@
 	l.giveUp(context.WithoutCancel(order.ctx))
 }
 
-// recordCarriedOut records that an order of this process for a group was carried out. If several orders for the group may be under way, all
-// but one of them still may.
+// recordCarriedOut records that a promotion that this process ordered for a group was carried out. If several such orders may be under way, all
+// but one of them still may. The end of a pause may be under way all the same.
 func (l *coordinatorLease) recordCarriedOut(group model.GroupName) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var found []pendingOrder
 	for _, order := range l.orders {
-		if order.Group == group {
+		if order.Group == group && order.Kind == state.OrderPromote {
 			found = append(found, order)
 		}
 	}
--- a/coord/orders_test.go
+++ b/coord/orders_test.go
@@ -116,3 +116,18 @@
 	_, err = holder.recordOrder(t.Context(), lease.Fence, state.SentOrder{Group: "g", Kind: state.OrderResume})
 	require.ErrorIs(t, err, model.ErrConflict, "the row has changed")
 }
+
+// TestPromotionDoesNotSettleTheEndOfAPause guards against a RESUME that ends the pause of a later replacement: a replica had not answered it, and the
+// promotion that followed was taken for its end, so that the lease was given up.
+func TestPromotionDoesNotSettleTheEndOfAPause(t *testing.T) {
+	holder, lease := newHolder(t, stand.NewRows())
+	resume, err := holder.recordOrder(t.Context(), lease.Fence, state.SentOrder{Group: "g", Kind: state.OrderResume})
+	require.NoError(t, err)
+	promote, err := holder.recordOrder(t.Context(), lease.Fence, state.SentOrder{Group: "g", Kind: state.OrderPromote, Target: "i-2", Term: 2})
+	require.NoError(t, err)
+	holder.recordCarriedOut("g")
+	require.Error(t, promote.ctx.Err(), "the only order for a promotion was carried out")
+	holder.settle(promote)
+	holder.recordCarriedOut("g")
+	require.NoError(t, resume.ctx.Err(), "the end of the pause may be under way")
+}
