The target is asked again between the record of an order and its sending

A target that starts again, with an empty log, after it was compared would be promoted without the acknowledged commits (LOST). Cause: the record of the order is a call to the store, up to 1.5 s and more, between the comparison and the order. Change: the check that guarded a repeated order (the target is as it was when it was chosen, and no replica's pause has ended unless all VMs released the old primary) guards each order, after its record. It costs one round of STATUS for each promotion. TestOrderIsNotSentForATargetThatStartedAgain: on the code before, the order is sent (by reading; it ends in a panic there, since the test has no promotion service).

--- a/coord/promote.go
+++ b/coord/promote.go
@@ -28,7 +28,7 @@
 			r.s.lease.recordCarriedOut(r.group)
 			return term, nil
 		}
-		if ctx.Err() != nil || !r.s.lease.isPending(r.group) || !r.isUnchanged(target) {
+		if ctx.Err() != nil || !r.s.lease.isPending(r.group) {
 			return 0, err
 		}
 	}
@@ -42,6 +42,10 @@
 	if err != nil {
 		return err
 	}
+	if !r.isUnchanged(target) {
+		r.s.lease.settle(recorded)
+		return errors.Newf("instance %s is not as it was when it was chosen", target.Name)
+	}
 	answer := make(chan error, 1)
 	go func() { answer <- r.send(recorded, target) }()
 	select {
--- a/coord/repeat_test.go
+++ b/coord/repeat_test.go
@@ -62,3 +62,17 @@
 		})
 	}
 }
+
+// TestOrderIsNotSentForATargetThatStartedAgain guards against a target that starts again, with an empty log, while its order is recorded.
+func TestOrderIsNotSentForATargetThatStartedAgain(t *testing.T) {
+	rows := stand.NewRows()
+	holder, lease := newHolder(t, rows)
+	holder.cache.ApplyInstances(1, true, []model.Instance{{Name: "i-1", Group: "g"}, {Name: "i-2", Group: "g"}}, nil, clock.Now())
+	again := statusDialer{"i-2": {Role: model.RoleReplica, Term: 1, Held: 1}}
+	supervisor := &Supervisor{config: Config{Cache: holder.cache, Dialer: again, Log: log.New(io.Discard)}, lease: holder.coordinatorLease}
+	record := state.PrimaryRecord{Group: "g", Term: 1, Primary: "i-1", Next: &state.Intent{Term: 2}}
+	r := &replacement{s: supervisor, group: "g", lease: lease, record: record, releases: map[model.VMID]elect.Release{"a": {VM: "a"}}}
+	// Config.Promotions is nil, so that sending the order would panic.
+	require.ErrorContains(t, r.order(t.Context(), holder.cache.Snapshot().Instances["i-2"]), "not as it was when it was chosen")
+	require.False(t, holder.isPending("g"))
+}
