Rates: a VM that was late and not stopped serves a team that seldom sends

A full run of node's tests on at a load of 125 had 'over the rate of the team rate=5000.0 part=833.3 demand=0.5' in TestBurstAtSharedConnectionsIsAnsweredInTime: the process didn't run for more than 250 ms, its bucket was empty and didn't fill for that time, so the next operation of a team far below its rate was refused. Buckets fill for the last 250 ms of such a time now.

--- a/share/bucket.go
+++ b/share/bucket.go
@@ -17,6 +17,13 @@
 	b.filledAt = now
 }
 
+// skipTo lets the bucket not fill before an instant.
+func (b *bucket) skipTo(fillFrom time.Time) {
+	if b.filledAt.Before(fillFrom) {
+		b.filledAt = fillFrom
+	}
+}
+
 // take spends a token, or returns the time until the next one. If the rate is not positive, it returns one second.
 func (b *bucket) take(rate float64) (time.Duration, bool) {
 	if b.tokens >= 1 {
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -17,7 +17,7 @@
 	// the report, so that the shares never add up to more than the rate while demand rises everywhere at once.
 	reportSettleTime = 2200 * time.Millisecond
 	// maxSilence is how long a VM that runs may leave its limiter alone. After a longer time it was stopped, and another VM admitted in its
-	// place, so its buckets have not filled meanwhile.
+	// place, so its buckets fill for this time only.
 	maxSilence = 250 * time.Millisecond
 	// standInShare is the share of the failure domain's even share that a VM uses at most while it admits in place of another, because that one
 	// may be slow only and admit for a part of the failure domain. It can get further tokens from other failure domains.
@@ -140,11 +140,11 @@
 	l.noteRunning(now)
 }
 
-// noteRunning is NoteRunning for callers that hold the lock. If the VM was stopped, its buckets fill from now on.
+// noteRunning is NoteRunning for callers that hold the lock. If the VM was stopped, its buckets fill for the last maxSilence only.
 func (l *Limiter) noteRunning(now time.Time) {
-	if !l.ranAt.IsZero() && now.Sub(l.ranAt) > maxSilence {
+	if fillFrom := now.Add(-maxSilence); !l.ranAt.IsZero() && l.ranAt.Before(fillFrom) {
 		for _, t := range l.teams {
-			t.bucket.filledAt = now
+			t.bucket.skipTo(fillFrom)
 		}
 	}
 	l.ranAt = now
