--- a/soak/orderfault.go
+++ b/soak/orderfault.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/stand"
 )
 
@@ -11,7 +12,7 @@
 	// minHold and maxHold bound how long the platform holds a late order.
 	minHold, maxHold = 3 * time.Second, 8 * time.Second
 	// maxOrderFaultInterval bounds the time between the beginnings of two faults of the promotion service.
-	maxOrderFaultInterval = 4 * time.Second
+	maxOrderFaultInterval = 2 * time.Second
 	// orderFaultStream separates the draws of these faults from those of all others, which stay the same for a seed.
 	orderFaultStream = 2
 )
@@ -22,7 +23,7 @@
 }
 
 func (i *injector) drawOrderFault() fault {
-	kinds := []func() fault{i.ordersLate, i.ordersLate, i.ordersNotAccepted, i.orderAnswersLost, i.orderLink}
+	kinds := []func() fault{i.ordersLate, i.ordersLate, i.ordersNotAccepted, i.orderAnswersLost, i.orderLink, i.primaryDown, i.primaryDown, i.primaryDown}
 	return kinds[i.random.IntN(len(kinds))]()
 }
 
@@ -53,6 +54,25 @@
 	return i.linkFault(fmt.Sprintf("way of vm-%d to the promotion service", vm), []*Proxy{i.site.orderProxies[vm]})
 }
 
+// primaryDown takes the primary of a group down, so that a new one is ordered.
+func (i *injector) primaryDown() fault {
+	g := i.random.IntN(len(i.site.clusters))
+	var primary model.InstanceName
+	return fault{
+		name: fmt.Sprintf("primary of %s down", groupName(g)),
+		begin: func() {
+			if primary, _ = i.site.clusters[g].Primary(); primary != "" {
+				i.site.clusters[g].SetFaults(primary, stand.DatabaseFaults{Down: true})
+			}
+		},
+		end: func() {
+			if primary != "" {
+				i.site.clusters[g].SetFaults(primary, stand.DatabaseFaults{})
+			}
+		},
+	}
+}
+
 // awaitOrders waits until the promotion service has taken all orders that it holds.
 func (s *site) awaitOrders() {
 	for len(s.orders.Held()) > 0 && s.ctx.Err() == nil {
--- a/soak/orderfault_test.go
+++ b/soak/orderfault_test.go
@@ -51,6 +51,7 @@
 	}
 	for _, name := range []string{
 		"orders are taken late", "orders are not answered", "connections of orders are not accepted", "way of vm-3 to the promotion service silent",
+		"primary of orders-1 down",
 	} {
 		require.Contains(t, drawn, name)
 	}
