--- a/soak/site.go
+++ b/soak/site.go
@@ -192,10 +192,12 @@
 
 var addressCount atomic.Int64
 
-// newAddress returns a loopback address that no other VM of this process has.
+// newAddress returns a loopback address that no other VM of this process has. Soaks that run at once use other ranges, unless their process ids
+// happen to map to the same one.
 func newAddress() netip.Addr {
-	n := addressCount.Add(1)
-	return netip.AddrFrom4([4]byte{127, byte(10 + os.Getpid()%200), byte(100 + n/250), byte(1 + n%250)})
+	const firstRange, ranges, vmsPerRange = 100, 156, 250
+	pid, n := int64(os.Getpid()), addressCount.Add(1)
+	return netip.AddrFrom4([4]byte{127, byte(10 + pid%200), byte(firstRange + (pid/200+n/vmsPerRange)%ranges), byte(1 + n%vmsPerRange)})
 }
 
 func (s *site) addVM(i int) error {
