--- a/soak/orderfault.go
+++ b/soak/orderfault.go
@@ -43,8 +43,8 @@
 
 func (i *injector) ordersNotAccepted() fault {
 	return fault{
-		name: "connections of orders are not accepted", begin: func() { i.site.orderDoor.shut.Store(true) },
-		end: func() { i.site.orderDoor.shut.Store(false) },
+		name: "connections of orders are not accepted", begin: func() { i.site.orderListener.paused.Store(true) },
+		end: func() { i.site.orderListener.paused.Store(false) },
 	}
 }
 
--- a/soak/orderfault_test.go
+++ b/soak/orderfault_test.go
@@ -57,22 +57,22 @@
 	}
 }
 
-// TestOrderWaitsAtTheDoorAfterItsSenderGaveUp guards against a stand-in that is kinder than a kernel: closing a connection takes nothing back.
-func TestOrderWaitsAtTheDoorAfterItsSenderGaveUp(t *testing.T) {
+// TestOrderWaitsInTheKernelAfterItsSenderGaveUp guards against a stand-in that is kinder than a kernel: closing a connection takes nothing back.
+func TestOrderWaitsInTheKernelAfterItsSenderGaveUp(t *testing.T) {
 	s := newPlanSite(true)
 	s.rows = stand.NewRows()
 	s.clusters[0] = stand.NewCluster(stand.ClusterConfig{Group: "g", Instances: []model.Instance{{Name: "a", Group: "g"}}})
 	s.orders.Add(s.clusters[0])
 	require.NoError(t, s.serveOrders())
 	t.Cleanup(func() { _ = s.servers[0].Close() })
-	s.orderDoor.shut.Store(true)
+	s.orderListener.paused.Store(true)
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	address := s.orderDoor.Addr().(*net.TCPAddr).AddrPort()
+	address := s.orderListener.Addr().(*net.TCPAddr).AddrPort()
 	err := platform.NewPromotions(address).Promote(ctx, model.PromoteOrder{Group: "g", Target: "a", Holder: "vm-1", Fence: 1})
 	require.True(t, errors.Is(err, model.ErrUncertain), "%v", err)
 	time.Sleep(100 * time.Millisecond)
 	require.Empty(t, s.orders.Records(), "not taken yet")
-	s.orderDoor.shut.Store(false)
+	s.orderListener.paused.Store(false)
 	require.Eventually(t, func() bool { return len(s.orders.Records()) == 1 }, time.Second, time.Millisecond)
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -133,7 +133,7 @@
 func (s *site) endFaults() {
 	s.rows.SetFaults(stand.RowsFaults{})
 	s.orders.SetFaults(stand.OrderFaults{})
-	s.orderDoor.shut.Store(false)
+	s.orderListener.paused.Store(false)
 	for _, proxy := range slices.Concat(s.storeProxies, s.orderProxies) {
 		proxy.Set(LinkFaults{})
 	}
--- a/soak/site.go
+++ b/soak/site.go
@@ -43,9 +43,9 @@
 	history  *history
 	rows     *stand.Rows
 	clusters []*stand.Cluster
-	// orders takes the orders for new primaries of all groups, and orderDoor accepts the connections to it.
-	orders    *stand.Orders
-	orderDoor *door
+	// orders takes the orders for new primaries of all groups, and orderListener accepts the connections to it.
+	orders        *stand.Orders
+	orderListener *pausableListener
 	// instances holds the instances of all clusters, with the addresses that the proxies connect to.
 	instances []model.Instance
 	vms       []*process
@@ -215,7 +215,7 @@
 		return err
 	}
 	s.storeProxies = append(s.storeProxies, proxy)
-	orders, err := NewProxy(s.orderDoor.Addr().String())
+	orders, err := NewProxy(s.orderListener.Addr().String())
 	if err != nil {
 		return err
 	}
@@ -235,15 +235,15 @@
 	return nil
 }
 
-// serveOrders serves the promotion service at a door of its own.
+// serveOrders serves the promotion service on a listener of its own.
 func (s *site) serveOrders() error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	s.orderDoor = newDoor(listener)
+	s.orderListener = newPausableListener(listener)
 	server := &http.Server{Handler: platform.NewStandInHandler(s.rows.Client("orders"), s.orders), ReadHeaderTimeout: orderReadTimeout}
-	go func() { _ = server.Serve(s.orderDoor) }() // It ends when it is closed.
+	go func() { _ = server.Serve(s.orderListener) }() // It ends when it is closed.
 	s.servers = append(s.servers, server)
 	return nil
 }
--- a/stand/orders.go
+++ b/stand/orders.go
@@ -46,7 +46,7 @@
 	// OrderRecord is what the promotion service knows of an order.
 	OrderRecord struct {
 		Order model.PromoteOrder
-		// SentAt is when the order arrived at the platform's door, and TakenAt when the platform read it and checked its token.
+		// SentAt is when the order arrived at the platform, and TakenAt when the platform read it and checked its token.
 		SentAt, TakenAt time.Time
 		// CarriedOutAt is when the promotion took effect; it is zero if it has not.
 		CarriedOutAt time.Time
