The promotion of a repeated order does not settle the first one

Cause: the order was repeated, and the repeated one was answered and so no longer counted as under way. Change: orders for the same promotion are marked as repeated, also in the row of the lease. A promotion shows the end of an order only if it is the only one that was ever recorded for it. Ruled out: a claim of another VM (the holder of both tokens is one process). TestAnswerToARepeatedOrderDoesNotSettleTheFirst fails on the code before (1 of 1) and passes after.

--- a/coord/orders.go
+++ b/coord/orders.go
@@ -42,6 +42,7 @@
 	}
 	l.orderCount++
 	recorded := recordedOrder{number: l.orderCount}
+	order.Repeated = l.markRepeated(order)
 	l.orders[recorded.number] = pendingOrder{SentOrder: order}
 	now := clock.Now()
 	if err := l.write(ctx, now, l.next(l.held)); err != nil {
@@ -57,6 +58,19 @@
 	return recorded, nil
 }
 
+// markRepeated marks the orders of this process for the same promotion that may be under way, and reports whether there are any; the caller holds
+// the lock.
+func (l *coordinatorLease) markRepeated(order state.SentOrder) bool {
+	repeated := false
+	for number, pending := range l.orders {
+		if order.Kind == state.OrderPromote && pending.Kind == order.Kind && pending.Group == order.Group {
+			pending.Repeated, repeated = true, true
+			l.orders[number] = pending
+		}
+	}
+	return repeated
+}
+
 // settle records that an order was carried out, was not sent, or has outlived its lifetime. The lease is given up if nothing else uses it.
 func (l *coordinatorLease) settle(order recordedOrder) {
 	l.mu.Lock()
@@ -66,8 +80,8 @@
 	l.giveUp(context.WithoutCancel(order.ctx))
 }
 
-// recordCarriedOut records that a promotion that this process ordered for a group was carried out. If several such orders may be under way, all
-// but one of them still may. The end of a pause may be under way all the same.
+// recordCarriedOut records that a promotion that this process ordered for a group was carried out. If it was ordered several times, the others may
+// still be under way, even if one was answered. The end of a pause may be under way all the same.
 func (l *coordinatorLease) recordCarriedOut(group model.GroupName) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -77,7 +91,7 @@
 			found = append(found, order)
 		}
 	}
-	if len(found) == 1 {
+	if len(found) == 1 && !found[0].Repeated {
 		found[0].carriedOut()
 	}
 }
@@ -133,7 +147,7 @@
 	groups := map[model.GroupName]bool{}
 	for _, order := range orders {
 		target, registered := s.config.Cache.Snapshot().Instances[order.Target]
-		if order.Kind != state.OrderPromote || groups[order.Group] || !registered {
+		if order.Kind != state.OrderPromote || order.Repeated || groups[order.Group] || !registered {
 			return false
 		}
 		groups[order.Group] = true
--- a/coord/orders_test.go
+++ b/coord/orders_test.go
@@ -80,6 +80,22 @@
 	}
 }
 
+// TestAnswerToARepeatedOrderDoesNotSettleTheFirst guards against a first order that is taken under an older token: it was not answered, the order
+// was repeated and answered, and the promotion was taken for the end of the first one, too.
+func TestAnswerToARepeatedOrderDoesNotSettleTheFirst(t *testing.T) {
+	holder, lease := newHolder(t, stand.NewRows())
+	order := state.SentOrder{Group: "g", Kind: state.OrderPromote, Target: "i-2", Term: 2}
+	first, err := holder.recordOrder(t.Context(), lease.Fence, order)
+	require.NoError(t, err)
+	second, err := holder.recordOrder(t.Context(), lease.Fence, order)
+	require.NoError(t, err)
+	holder.settle(second)
+	holder.recordCarriedOut("g")
+	require.NoError(t, first.ctx.Err(), "it may still be under way")
+	holder.refresh()
+	require.True(t, holder.cache.Snapshot().Coordinator.Orders[0].Repeated, "nor may another VM settle it by the promotion")
+}
+
 // TestTokenStaysWhileTheHolderStays guards against a higher token while an order under the lower one is under way: a process renewed its lease
 // after it had expired, or after the answer to a renewal was lost.
 func TestTokenStaysWhileTheHolderStays(t *testing.T) {
--- a/state/rows.go
+++ b/state/rows.go
@@ -64,6 +64,8 @@
 		// Target is the instance to promote, and Term the least term of its promotion; both are zero for other kinds.
 		Target model.InstanceName `json:",omitempty"`
 		Term   model.Term         `json:",omitempty"`
+		// Repeated reports that several orders for this promotion were recorded, so that the promotion does not show which of them were carried out.
+		Repeated bool `json:",omitempty"`
 	}
 
 	// OrderKind is the kind of a SentOrder.
