--- a/elect/orders_test.go
+++ b/elect/orders_test.go
@@ -23,8 +23,8 @@
 	orderRule struct {
 		name string
 		// waits keeps others from a lease with an order that may be under way, keeps holds a lease until its orders are settled, checks sends
-		// nothing after SendBy, and sameToken renews under the same token.
-		waits, keeps, checks, sameToken bool
+		// nothing after SendBy, sameToken renews under the same token, and counts waits for the answer to each order that was repeated.
+		waits, keeps, checks, sameToken, counts bool
 	}
 
 	simulatedRow struct {
@@ -46,7 +46,9 @@
 		// unsent is set while a recorded order is not sent, and settleBy is when the order cannot be under way any more.
 		unsent   bool
 		settleBy time.Time
-		answered bool
+		// unanswered counts the orders without an answer, and answered is set once there was any answer.
+		unanswered int
+		answered   bool
 	}
 
 	arrival struct {
@@ -103,6 +105,7 @@
 		s.seen = max(s.seen, a.fence)
 		s.taken++
 		if vm := &s.vms[a.sender]; vm.boot == a.boot && !a.answerLost {
+			vm.unanswered--
 			vm.answered = true
 		}
 	}
@@ -155,8 +158,23 @@
 		next.fence = row.fence
 	}
 	s.row, vm.observed, vm.observedSince = next, next, s.now
-	vm.held, vm.claimedAt, vm.unsent, vm.answered = next, s.now, true, false
-	vm.settleBy = SendBy(s.now).Add(OrderLifetime)
+	vm.unanswered, vm.answered = 0, false
+	vm.record(s.now, next)
+}
+
+// record records an order in a row that was written at an instant.
+func (vm *simulatedVM) record(now time.Time, row simulatedRow) {
+	vm.held, vm.claimedAt, vm.unsent = row, now, true
+	vm.settleBy = SendBy(now).Add(OrderLifetime)
+	vm.unanswered++
+}
+
+// repeat records the order once more, if nobody has claimed the lease.
+func (s *orderSchedule) repeat(vm *simulatedVM) {
+	if s.row.version == vm.held.version {
+		s.row.version++
+		vm.record(s.now, s.row)
+	}
 }
 
 // send sends the recorded order some time after it was recorded, unless its time has passed.
@@ -167,7 +185,7 @@
 	}
 	vm.unsent = false
 	if s.rule.checks && !MayOrder(s.now, vm.claimedAt) {
-		vm.answered = true
+		vm.unanswered--
 		return
 	}
 	delay := s.draw(100 * time.Millisecond)
@@ -180,9 +198,13 @@
 // settle gives the lease up once its order is settled. A holder that only expects this too early gives it up after a second.
 func (s *orderSchedule) settle(vm *simulatedVM) {
 	gaveUp := !s.rule.keeps && s.now.Sub(vm.claimedAt) > time.Second
-	if !vm.answered && s.now.Before(vm.settleBy) && !gaveUp {
-		if !s.rule.sameToken && s.chance(20) {
+	settled := vm.unanswered == 0 || (vm.answered && !s.rule.counts)
+	if !settled && s.now.Before(vm.settleBy) && !gaveUp {
+		switch {
+		case !s.rule.sameToken && s.chance(20):
 			vm.held = simulatedRow{} // It claims again, under the next token.
+		case s.chance(60):
+			s.repeat(vm)
 		}
 		return
 	}
@@ -197,7 +219,7 @@
 func TestNoOrderComesUnderAnOlderToken(t *testing.T) {
 	taken := 0
 	for seed := range uint64(orderSchedules) {
-		s := newOrderSchedule(seed, orderRule{waits: true, keeps: true, checks: true, sameToken: true})
+		s := newOrderSchedule(seed, orderRule{waits: true, keeps: true, checks: true, sameToken: true, counts: true})
 		s.run()
 		require.False(t, s.violated, "seed %d", seed)
 		taken += s.taken
@@ -207,10 +229,11 @@
 
 func TestMissingPrecautionsOfOrdersAreDetected(t *testing.T) {
 	for _, rule := range []orderRule{
-		{name: "claims a lease with an order that may be under way", keeps: true, checks: true, sameToken: true},
-		{name: "gives the lease up while an order may be under way", waits: true, checks: true, sameToken: true},
-		{name: "sends an order after a stop", waits: true, keeps: true, sameToken: true},
-		{name: "renews under a higher token", waits: true, keeps: true, checks: true},
+		{name: "claims a lease with an order that may be under way", keeps: true, checks: true, sameToken: true, counts: true},
+		{name: "gives the lease up while an order may be under way", waits: true, checks: true, sameToken: true, counts: true},
+		{name: "sends an order after a stop", waits: true, keeps: true, sameToken: true, counts: true},
+		{name: "renews under a higher token", waits: true, keeps: true, checks: true, counts: true},
+		{name: "takes an answer for that to each order", waits: true, keeps: true, checks: true, sameToken: true},
 	} {
 		t.Run(rule.name, func(t *testing.T) {
 			found := false
