--- a/soak/seeds_test.go
+++ b/soak/seeds_test.go
@@ -38,3 +38,14 @@
 	require.NoError(t, err)
 	require.Empty(t, report.Violations, "it failed before because %s; faults %q", cause, report.Faults)
 }
+
+// TestKillOfAllWithAnOrderUnderWayRecoversInTime guards against a group that gets no primary for 15 s: all VMs were killed while the platform held an
+// order of one of them, and the others wait until it cannot be under way any more.
+func TestKillOfAllWithAnOrderUnderWayRecoversInTime(t *testing.T) {
+	const seed = 733
+	report, err := Run(t.Context(), Config{
+		Program: buildDaemon(t), Dir: t.TempDir(), Seed: seed, VMs: 6, Groups: 2, Sessions: 24, For: 15 * time.Second, OrderFaults: true, Log: log.New(io.Discard),
+	})
+	require.NoError(t, err)
+	require.Empty(t, report.Violations, "faults %q", report.Faults)
+}
