Soak and stand-ins: one record of what callers were told, one time format, no unused contexts

Read again: history.acked held what history.told holds as well; two constants of package soak had the same time format; a promotion of the stand-in took a context that it did not use, and its sender detached one for it; the loop that ends all pauses looked at a setting in each round. No check, bound or expectation changes. The daemon is untouched.

--- a/soak/history.go
+++ b/soak/history.go
@@ -57,8 +57,6 @@
 		violations []string
 		// outcomes counts the writes by their outcomes.
 		outcomes map[outcome]int
-		// acked holds the statements whose commit was acknowledged to the caller.
-		acked map[model.RequestID]bool
 		// told holds what the callers were told of the statements that commit.
 		told map[model.RequestID]outcome
 		// unanswered holds the statements whose connection ended without a complete answer.
@@ -75,8 +73,7 @@
 func newHistory() *history {
 	return &history{
 		sent: map[model.RequestID]sentStatement{}, items: map[string][]writtenValue{}, recent: map[model.GroupName][]string{},
-		arrivals: map[model.TeamName][]arrival{}, outcomes: map[outcome]int{}, acked: map[model.RequestID]bool{},
-		told: map[model.RequestID]outcome{},
+		arrivals: map[model.TeamName][]arrival{}, outcomes: map[outcome]int{}, told: map[model.RequestID]outcome{},
 	}
 }
 
@@ -133,7 +130,7 @@
 	h.items[item] = append(h.items[item], writtenValue{id: id, value: value, outcome: outcomeUnknown})
 }
 
-// recordOutcome records the outcome of the last value of an item. If it is outcomeAcked, id is the statement whose commit was acknowledged.
+// recordOutcome records the outcome of the last value of an item, and for which statement; that is the commit if it was acknowledged.
 func (h *history) recordOutcome(item string, id model.RequestID, o outcome) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -141,9 +138,6 @@
 	all[len(all)-1].outcome, all[len(all)-1].at = o, time.Now()
 	h.outcomes[o]++
 	h.told[id] = o
-	if o == outcomeAcked {
-		h.acked[id] = true
-	}
 }
 
 // lastAckedNumber returns the number, counted from 1, of the last value of an item that was acknowledged before an instant; 0 if none was.
--- a/soak/one.go
+++ b/soak/one.go
@@ -7,9 +7,6 @@
 	"github.com/crocusshore/crocusshore/model"
 )
 
-// timeFormat is the form of times in the lines of a report.
-const timeFormat = "15:04:05.000"
-
 type (
 	// OrderCounts counts what the promotion service and the instances saw around promotions.
 	OrderCounts struct {
@@ -83,7 +80,7 @@
 			told := s.toldOf(cut.ID)
 			counts.CutOff.add(told)
 			counts.Details = append(counts.Details, fmt.Sprintf("cut off: %s at %s, told %s, acknowledged by its instance %s, %s promoted %s", cut.ID, cut.Mark,
-				told, cut.AckedAt.Format(timeFormat), cut.Promoted, cut.PromotedAt.Format(timeFormat)))
+				told, cut.AckedAt.Format(clockFormat), cut.Promoted, cut.PromotedAt.Format(clockFormat)))
 		}
 	}
 	return counts
--- a/soak/run.go
+++ b/soak/run.go
@@ -202,7 +202,7 @@
 	for _, cluster := range s.clusters {
 		for _, id := range cluster.LostCommits() {
 			s.history.addViolationLocked("cluster: the commit %s was acknowledged by its instance, and a promotion cut it off (its caller was told: %t)", id,
-				s.history.acked[id])
+				s.history.told[id] == outcomeAcked)
 		}
 	}
 }
--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -220,12 +220,12 @@
 
 // Promote makes an instance the primary of a new term after PromoteTime. An order under an older fencing token is recorded as a violation
 // and carried out nevertheless. Promote returns model.ErrConflict if the target is unknown or down.
-func (c *Cluster) Promote(ctx context.Context, order model.PromoteOrder) error {
-	return c.promote(ctx, order, func(time.Time) {})
+func (c *Cluster) Promote(_ context.Context, order model.PromoteOrder) error {
+	return c.promote(order, func(time.Time) {})
 }
 
 // promote is Promote; it calls carriedOut, in a goroutine of its own, once the promotion has taken effect.
-func (c *Cluster) promote(_ context.Context, order model.PromoteOrder, carriedOut func(time.Time)) error {
+func (c *Cluster) promote(order model.PromoteOrder, carriedOut func(time.Time)) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if order.Fence < c.fencingToken {
@@ -246,8 +246,8 @@
 	return nil
 }
 
-// becomePrimary makes an instance the primary of a new term and ends its pause, and those of the others as FollowDelay says. It records as lost the acknowledged commits that are not in
-// the instance's log.
+// becomePrimary makes an instance the primary of a new term and ends its pause, and those of the others unless they learn of the promotion later.
+// It records as lost the acknowledged commits that are not in the instance's log.
 func (c *Cluster) becomePrimary(target *database) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -259,8 +259,8 @@
 	c.recordLostCommits(target)
 	term++
 	target.term, target.instance.Role, target.pausedTerm = term, model.RolePrimary, 0
-	for _, d := range c.databases {
-		if c.config.FollowDelay == 0 {
+	if c.config.FollowDelay == 0 {
+		for _, d := range c.databases {
 			d.pausedTerm = 0
 		}
 	}
--- a/stand/orders.go
+++ b/stand/orders.go
@@ -81,16 +81,16 @@
 	o.faults = faults
 }
 
-// Promote passes an order to its cluster, as the present faults let it. It does not end with ctx: a sender that gives up takes nothing back.
+// Promote passes an order to its cluster, as the present faults let it. It does not end with the context: a sender that gives up takes nothing back.
 // It returns model.ErrUncertain for an order that is never answered.
-func (o *Orders) Promote(ctx context.Context, order model.PromoteOrder) error {
+func (o *Orders) Promote(_ context.Context, order model.PromoteOrder) error {
 	record := &OrderRecord{Order: order, SentAt: time.Now()}
 	fate := o.admit(record)
 	time.Sleep(fate.hold)
 	cluster := o.take(record, time.Now())
 	err := errors.Newf("group %s is unknown", order.Group)
 	if cluster != nil {
-		err = cluster.promote(context.WithoutCancel(ctx), order, func(at time.Time) { o.recordCarriedOut(record, at) })
+		err = cluster.promote(order, func(at time.Time) { o.recordCarriedOut(record, at) })
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
