Known red: a request that cannot finish is refused only at its deadline

Callers of the interface over HTTP waited for a refusal that was already certain: dispatch takes a request that cannot finish in time out of the queue and drops it, and acquire returns at the deadline.

The test plays it in virtual time: one slot, a mean latency of 300 ms, a deadline of 1 s, a slot freed at 450 ms.

--- /dev/null
+++ b/owner/scheduler_test.go
@@ -0,0 +1,74 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/tree"
+)
+
+// schedulingTime is how long after the cause of a refusal its caller may learn of it.
+const schedulingTime = 10 * time.Millisecond
+
+// acquired is the result of a wait for a slot, and when it ended.
+type acquired struct {
+	err   error
+	endAt time.Time
+}
+
+// newTestScheduler returns a scheduler of an instance with one slot, on which requests have taken a mean latency. It runs two requests at once.
+func newTestScheduler(mean time.Duration) *scheduler {
+	s := newScheduler(nil, tree.Instance{Name: "p", Slots: 1, Connections: 10})
+	s.concurrency.Observe(mean)
+	return s
+}
+
+// acquireLater starts a wait for a slot and returns its result when it ends.
+func acquireLater(s *scheduler, r Request) <-chan acquired {
+	result := make(chan acquired, 1)
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+		defer cancel()
+		err := s.acquire(ctx, time.Now(), &r)
+		result <- acquired{err: err, endAt: time.Now()}
+	}()
+	synctest.Wait()
+	return result
+}
+
+func testRequest(now time.Time, timeout time.Duration, class tree.Class) Request {
+	return Request{Team: "team", Deadline: now.Add(timeout), Settings: tree.Settings{Class: class, Weight: 1, QueueLimit: 100}}
+}
+
+// requireRefused requires that a wait ended by an instant with a refusal of a request that has not run, and with a time to return.
+func requireRefused(t *testing.T, result acquired, by time.Time) {
+	t.Helper()
+	var refusal *model.Refusal
+	require.ErrorAs(t, result.err, &refusal)
+	require.Equal(t, model.NotRun, refusal.Outcome)
+	require.Positive(t, refusal.RetryAfter)
+	require.False(t, result.endAt.After(by.Add(schedulingTime)), "refused %s too late", result.endAt.Sub(by))
+}
+
+// TestRequestThatCannotFinishIsRefusedAtOnce guards against a caller that is kept waiting until its deadline for a refusal that is already certain:
+// a request that could not finish in time any more was taken out of the queue, and its caller was told at the deadline.
+func TestRequestThatCannotFinishIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const mean, timeout = 300 * time.Millisecond, time.Second
+		s := newTestScheduler(mean)
+		start := time.Now()
+		for range s.concurrency.Limit() {
+			require.NoError(t, (<-acquireLater(s, testRequest(start, timeout, tree.ClassNormal))).err)
+		}
+		waiting := acquireLater(s, testRequest(start, timeout, tree.ClassNormal))
+		time.Sleep(450 * time.Millisecond)
+		s.release(time.Now(), mean)
+		requireRefused(t, <-waiting, start.Add(450*time.Millisecond))
+		require.Zero(t, s.queue.Len())
+	})
+}
