A request that cannot finish in time is refused at once

Callers waited until their deadline for a refusal that was already certain, and had no time left to ask again.

Cause: dispatch took a request with less than two mean latencies left out of the queue and dropped it; acquire returned at the end of the context.

Now the decision reaches the caller through the channel that also grants the slot, with the time after which a slot is expected. The rule is in the new package wait, from values only: the time that the caller has, the work that is left and when the missing thing is expected.

Before: TestRequestThatCannotFinishIsRefusedAtOnce failed (refused 550 ms too late of 1 s); after: refused at the instant of the decision.

--- a/owner/scheduler.go
+++ b/owner/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -9,19 +10,18 @@
 	"github.com/crocusshore/crocusshore/pool"
 	"github.com/crocusshore/crocusshore/queue"
 	"github.com/crocusshore/crocusshore/tree"
+	"github.com/crocusshore/crocusshore/wait"
 )
 
 // connectionShare is the fraction of an instance's connection limit that one VM uses, so that two VMs
 // that both consider themselves the owner of the instance stay within the limit together.
 const connectionShare = 0.48
 
-// minLatenciesLeft is the time, in mean latencies, that a request must have left before its deadline in order to be started.
-const minLatenciesLeft = 2
-
-// queuedRequest is a request in the queue of an instance; start is closed when it gets a slot.
+// queuedRequest is a request in the queue of an instance.
 type queuedRequest struct {
-	start    chan struct{}
 	deadline time.Time
+	// decided receives nil when the request gets a slot, or its refusal; it holds one decision, so that the scheduler never blocks.
+	decided chan error
 	// started and abandoned (the caller no longer waits) are guarded by scheduler.mu.
 	started   bool
 	abandoned bool
@@ -58,11 +58,11 @@
 
 // acquire waits for a slot. Its refusals may state that the request did not run, because nothing has been sent yet.
 func (s *scheduler) acquire(ctx context.Context, now time.Time, r *Request) error {
-	q := &queuedRequest{start: make(chan struct{}), deadline: r.Deadline}
+	q := &queuedRequest{deadline: r.Deadline, decided: make(chan error, 1)}
 	s.mu.Lock()
-	if wait := s.queue.EstimateWait(r.Team, r.Settings.Class, s.concurrency.MeanLatency(), s.concurrency.Limit()); now.Add(wait).After(r.Deadline) {
+	if estimate := s.queue.EstimateWait(r.Team, r.Settings.Class, s.concurrency.MeanLatency(), s.concurrency.Limit()); now.Add(estimate).After(r.Deadline) {
 		s.mu.Unlock()
-		return model.Refuse(model.ReasonOverload, "the requests of the team that wait already take longer than the deadline").WithRetryAfter(wait)
+		return model.Refuse(model.ReasonOverload, "the requests of the team that wait already take longer than the deadline").WithRetryAfter(estimate)
 	}
 	err := s.queue.Push(now, queue.Entry[*queuedRequest]{
 		Team:           r.Team,
@@ -78,8 +78,8 @@
 		return err
 	}
 	select {
-	case <-q.start:
-		return nil
+	case err := <-q.decided:
+		return err
 	case <-ctx.Done():
 		return s.abandon(q)
 	}
@@ -97,23 +97,32 @@
 	return model.Refuse(model.ReasonOverload, "no slot of the instance came free before the deadline").WithRetryAfter(overloadRetryAfter)
 }
 
-// dispatch starts waiting requests while slots are free. The caller holds s.mu.
+// dispatch starts waiting requests while slots are free, and refuses those that cannot finish in time any more. The caller holds s.mu.
 func (s *scheduler) dispatch(now time.Time) {
 	for s.running < s.concurrency.Limit() {
 		entry, ok := s.queue.Pop()
 		if !ok {
 			return
 		}
-		// A request that cannot finish in time would only take the slot from others. Its caller gets a refusal at the deadline.
-		if entry.Value.abandoned || now.Add(minLatenciesLeft*s.concurrency.MeanLatency()).After(entry.Value.deadline) {
+		q := entry.Value
+		if q.abandoned {
 			continue
 		}
-		entry.Value.started = true
-		close(entry.Value.start)
+		mean := s.concurrency.MeanLatency()
+		decision := wait.Decide(now, now, wait.Request{Deadline: q.deadline, Work: mean})
+		if !decision.Wait {
+			// The request would only take the slot from others, so its caller is told at once.
+			q.decided <- overload("the time that is left is too short for the request").WithRetryAfter(wait.Spread(mean, rand.Float64()))
+			continue
+		}
+		q.started = true
+		q.decided <- nil
 		s.running++
 	}
 }
 
+func overload(detail string) *model.Refusal { return model.Refuse(model.ReasonOverload, "%s", detail) }
+
 // release returns a slot; latency is zero if nothing ran.
 func (s *scheduler) release(now time.Time, latency time.Duration) {
 	s.mu.Lock()
