A waiting request is decided on again whenever its turn moves

Callers waited until their deadline although their turn could not come in time any more.

Cause: the wait was estimated on arrival only, for one class, without the work itself; entries that Expire returned were read by nobody; an instance that answers nothing led to no decision at all.

Now queue.Refuse decides again on each arrival, each free slot and at the last instant at which a request can start, counting the requests of all classes that go first and the work itself.

TestPushRefusalsStateTheirReason keeps its checks (Expire is Refuse now).

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -94,7 +94,7 @@
 		return p.fulfil(request, g)
 	}
 	w := &waiter{request: request, granted: make(chan grant, 1)}
-	err := b.waiting.Push(now, queue.Entry[*waiter]{
+	err := b.waiting.Push(now, queue.Capacity{}, queue.Entry[*waiter]{
 		Team: request.Team, Class: request.Class, Weight: 1, Deadline: request.Deadline, MaxTeamWaiting: maxTeamWaiters, Value: w,
 	})
 	p.mu.Unlock()
@@ -114,7 +114,7 @@
 	}
 	p.mu.Lock()
 	b := p.bucket(w.request.Instance)
-	b.waiting.Expire(w.request.Deadline)
+	b.waiting.Remove(func(other *waiter) bool { return other == w })
 	p.mu.Unlock()
 	select {
 	case g := <-w.granted:
@@ -238,7 +238,7 @@
 
 // grantWaiting grants what is available to the waiting requests; the caller holds the lock.
 func (p *Pool) grantWaiting(now time.Time, b *bucket) {
-	b.waiting.Expire(now)
+	b.waiting.Refuse(now, queue.Capacity{}) // Their own timers end their waits.
 	for b.waiting.Len() > 0 && b.canGrant(now, p.config.Budget(b.instance)) {
 		entry, ok := b.waiting.Pop()
 		if !ok {
--- a/owner/executor.go
+++ b/owner/executor.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := newScheduler(upstream, instance)
+	s := newScheduler(upstream, instance, e.config.Now)
 	e.schedulers[key] = s
 	e.closeReplaced(key)
 	return s, nil
@@ -123,7 +123,7 @@
 			return Response{}, err
 		}
 	}
-	if err := s.acquire(ctx, e.config.Now(), &r); err != nil {
+	if err := s.acquire(ctx, &r); err != nil {
 		return Response{}, err
 	}
 	result, err := e.runPooled(ctx, s, r)
--- a/owner/scheduler_test.go
+++ b/owner/scheduler_test.go
@@ -23,7 +23,7 @@
 
 // newTestScheduler returns a scheduler of an instance with one slot, on which requests have taken a mean latency. It runs two requests at once.
 func newTestScheduler(mean time.Duration) *scheduler {
-	s := newScheduler(nil, tree.Instance{Name: "p", Slots: 1, Connections: 10})
+	s := newScheduler(nil, tree.Instance{Name: "p", Slots: 1, Connections: 10}, time.Now)
 	s.concurrency.Observe(mean)
 	return s
 }
@@ -34,7 +34,7 @@
 	go func() {
 		ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
 		defer cancel()
-		err := s.acquire(ctx, time.Now(), &r)
+		err := s.acquire(ctx, &r)
 		result <- acquired{err: err, endAt: time.Now()}
 	}()
 	synctest.Wait()
@@ -72,3 +72,44 @@
 		require.Zero(t, s.queue.Len())
 	})
 }
+
+// fillSlots starts as many requests as may run at once.
+func fillSlots(t *testing.T, s *scheduler, start time.Time) {
+	t.Helper()
+	for range s.concurrency.Limit() {
+		require.NoError(t, (<-acquireLater(s, testRequest(start, time.Hour, tree.ClassNormal))).err)
+	}
+}
+
+// TestRequestIsRefusedOnceNoSlotCanComeInTime guards against a request that waits for an instance that answers nothing: it was refused at its
+// deadline, although it could not have been run in the time before.
+func TestRequestIsRefusedOnceNoSlotCanComeInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const mean, timeout = 100 * time.Millisecond, time.Second
+		s := newTestScheduler(mean)
+		start := time.Now()
+		fillSlots(t, s, start)
+		waiting := acquireLater(s, testRequest(start, timeout, tree.ClassNormal))
+		requireRefused(t, <-waiting, start.Add(timeout-2*mean))
+	})
+}
+
+// TestRequestWhoseTurnMovesPastItsDeadlineIsRefused guards against a request that waits although its turn cannot come in time any more: the
+// estimate was made on arrival only, and counted no requests of other classes.
+func TestRequestWhoseTurnMovesPastItsDeadlineIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const mean, timeout, moved = 100 * time.Millisecond, time.Second, 50 * time.Millisecond
+		s := newTestScheduler(mean)
+		start := time.Now()
+		fillSlots(t, s, start)
+		browsing := acquireLater(s, testRequest(start, timeout, tree.ClassBrowsing))
+		time.Sleep(moved)
+		for range 40 { // Two seconds of work that goes first.
+			acquireLater(s, testRequest(start, time.Hour, tree.ClassReservation))
+		}
+		requireRefused(t, <-browsing, start.Add(moved))
+		late := acquireLater(s, testRequest(start, timeout, tree.ClassBrowsing))
+		requireRefused(t, <-late, start.Add(moved))
+		time.Sleep(2 * time.Hour) // The waits of the others end.
+	})
+}
--- a/owner/transaction.go
+++ b/owner/transaction.go
@@ -67,7 +67,7 @@
 		e.endTransaction(r.Transaction, t, false)
 		return Response{}, nil
 	}
-	if err := s.acquire(ctx, e.config.Now(), &r); err != nil {
+	if err := s.acquire(ctx, &r); err != nil {
 		return Response{}, err
 	}
 	result, err := t.run(ctx, e.config.Now, r)
--- a/queue/flow.go
+++ b/queue/flow.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"time"
 
 	"github.com/crocusshore/crocusshore/model"
 )
@@ -52,15 +51,17 @@
 	return 0
 }
 
-// activeTeams returns the number of teams with waiting requests.
-func (l *lane[T]) activeTeams() int {
-	count := 0
-	for _, f := range l.flows {
-		if f.entries.Len() > 0 {
-			count++
+// ahead returns how many requests of the lane are served before one that has a position in the flow of its team.
+func (l *lane[T]) ahead(entry Entry[T], position int) float64 {
+	team, weight := entry.Team, max(entry.Weight, minWeight)
+	otherWeight := 0.0
+	for name, f := range l.flows {
+		if name != team && f.entries.Len() > 0 {
+			otherWeight += f.weight
 		}
 	}
-	return count
+	others := (float64(position) + halfTurn) * otherWeight / weight
+	return float64(position) + min(float64(l.length-l.waiting(team)), others)
 }
 
 // pop removes and returns the entry with the lowest virtual start time.
@@ -100,20 +101,14 @@
 	}
 }
 
-// expire removes and returns the entries whose deadline has passed.
-func (l *lane[T]) expire(now time.Time) []Entry[T] {
-	var expired []Entry[T]
-	for _, f := range l.flows {
-		for at := f.entries.Front(); at != nil; {
-			next := at.Next()
-			entry := at.Value.(Entry[T])
-			if !now.Before(entry.Deadline) {
-				f.entries.Remove(at)
-				l.length--
-				expired = append(expired, entry)
-			}
-			at = next
+// removeIf removes the entries of a flow for which remove returns true; it is called for each entry in order.
+func (l *lane[T]) removeIf(f *flow[T], remove func(Entry[T]) bool) {
+	for at := f.entries.Front(); at != nil; {
+		next := at.Next()
+		if remove(at.Value.(Entry[T])) {
+			f.entries.Remove(at)
+			l.length--
 		}
+		at = next
 	}
-	return expired
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/tree"
+	"github.com/crocusshore/crocusshore/wait"
 )
 
 const (
@@ -16,8 +17,8 @@
 	normalShare      = 8.0
 	browsingShare    = 1.0
 
-	// queueFullRetryAfter is the retry time for a caller whose team has too many requests waiting.
-	queueFullRetryAfter = 100 * time.Millisecond
+	// halfTurn is the mean part of another's turn that passes before one's own.
+	halfTurn = 0.5
 )
 
 // class is the lane of one priority class with its share and virtual time.
@@ -51,17 +52,19 @@
 	return total
 }
 
-// Push adds a request. It returns a *model.Refusal if the deadline has passed or the team has too many requests waiting.
-func (q *Queue[T]) Push(now time.Time, entry Entry[T]) error {
-	c := q.classes[entry.Class]
-	if c == nil {
-		c = q.classes[tree.ClassNormal]
-	}
+// Push adds a request. It returns a *model.Refusal if the request cannot be served by its deadline or the team has too many requests waiting.
+func (q *Queue[T]) Push(now time.Time, capacity Capacity, entry Entry[T]) error {
 	if !now.Before(entry.Deadline) {
 		return model.Refuse(model.ReasonDeadline, "the deadline passed before the request could wait for a slot")
 	}
-	if c.lane.waiting(entry.Team) >= entry.MaxTeamWaiting {
-		return model.Refuse(model.ReasonOverload, "%d requests of the team already wait for this instance", entry.MaxTeamWaiting).WithRetryAfter(queueFullRetryAfter)
+	c := q.class(entry.Class)
+	waiting := c.lane.waiting(entry.Team)
+	decision := q.decide(now, capacity, c, waiting, entry)
+	if entry.MaxTeamWaiting > 0 && waiting >= entry.MaxTeamWaiting {
+		return model.Refuse(model.ReasonOverload, "%d requests of the team already wait for this instance", entry.MaxTeamWaiting).WithRetryAfter(decision.RetryAfter)
+	}
+	if !decision.Wait {
+		return model.Refuse(model.ReasonOverload, "the requests that go first take longer than the time that is left").WithRetryAfter(decision.RetryAfter)
 	}
 	if c.lane.length == 0 {
 		c.virtualTime = max(c.virtualTime, q.virtualTime)
@@ -70,16 +73,60 @@
 	return nil
 }
 
-// EstimateWait estimates how long a new request of a team would wait if each of the slots takes service to run one request.
-//
-// It counts the waiting requests of the team, and assumes that they take turns with the requests of all other teams that wait.
-func (q *Queue[T]) EstimateWait(team model.TeamName, name tree.Class, service time.Duration, slots int) time.Duration {
-	c := q.classes[name]
-	if c == nil || c.lane.length == 0 {
-		return 0
+// Refuse removes and returns the requests that cannot be served by their deadlines any more. It has to be called whenever the capacity or
+// the queue changes, and at the instant that LatestStart returns.
+func (q *Queue[T]) Refuse(now time.Time, capacity Capacity) []Refused[T] {
+	var refused []Refused[T]
+	for _, c := range q.classes {
+		for _, f := range c.lane.flows {
+			position := 0
+			c.lane.removeIf(f, func(entry Entry[T]) bool {
+				decision := q.decide(now, capacity, c, position, entry)
+				if decision.Wait {
+					position++
+					return false
+				}
+				refused = append(refused, Refused[T]{Entry: entry, RetryAfter: decision.RetryAfter})
+				return true
+			})
+		}
+	}
+	return refused
+}
+
+// decide decides whether a request waits that has a position in the flow of its team.
+func (q *Queue[T]) decide(now time.Time, capacity Capacity, own *class[T], position int, entry Entry[T]) wait.Decision {
+	expected := now.Add(capacity.waitFor(q.turn(own, position, entry)))
+	return wait.Decide(now, expected, entry.left(capacity))
+}
+
+// turn returns how many waiting requests are served before one that has a position in the flow of its team. Teams of the class take turns by
+// their weights, and classes by their shares.
+func (q *Queue[T]) turn(own *class[T], position int, entry Entry[T]) float64 {
+	ahead := own.lane.ahead(entry, position)
+	turn := ahead
+	for _, c := range q.classes {
+		if c != own {
+			turn += min(float64(c.lane.length), (ahead+halfTurn)*c.share/own.share)
+		}
+	}
+	return turn
+}
+
+func (q *Queue[T]) class(name tree.Class) *class[T] {
+	if c := q.classes[name]; c != nil {
+		return c
+	}
+	return q.classes[tree.ClassNormal]
+}
+
+// Remove removes the requests that match, whose callers wait no longer.
+func (q *Queue[T]) Remove(match func(T) bool) {
+	for _, c := range q.classes {
+		for _, f := range c.lane.flows {
+			c.lane.removeIf(f, func(entry Entry[T]) bool { return match(entry.Value) })
+		}
 	}
-	turns := c.lane.waiting(team) * max(1, c.lane.activeTeams())
-	return service * time.Duration(min(turns, c.lane.length)) / time.Duration(max(1, slots))
 }
 
 // Pop removes and returns the next request to run.
@@ -106,12 +153,3 @@
 	}
 	return next
 }
-
-// Expire removes and returns the requests whose deadline has passed.
-func (q *Queue[T]) Expire(now time.Time) []Entry[T] {
-	var expired []Entry[T]
-	for _, c := range q.classes {
-		expired = append(expired, c.lane.expire(now)...)
-	}
-	return expired
-}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -11,7 +11,11 @@
 	"github.com/crocusshore/crocusshore/tree"
 )
 
-var start = time.Unix(0, 0)
+var (
+	start = time.Unix(0, 0)
+	// idle is a capacity that makes nobody wait.
+	idle = Capacity{}
+)
 
 func entryOf(team model.TeamName, class tree.Class, weight float64) Entry[model.TeamName] {
 	return Entry[model.TeamName]{Team: team, Class: class, Weight: weight, Deadline: start.Add(time.Hour), MaxTeamWaiting: 1 << 20, Value: team}
@@ -24,7 +28,7 @@
 	for range rounds {
 		for team, count := range offered {
 			for range count {
-				require.NoError(t, q.Push(start, entryOf(team, class(team), weights[team])))
+				require.NoError(t, q.Push(start, idle, entryOf(team, class(team), weights[team])))
 			}
 		}
 		entry, ok := q.Pop()
@@ -60,12 +64,12 @@
 func TestIdleTeamAccumulatesNoShare(t *testing.T) {
 	q := New[model.TeamName]()
 	for range 100 {
-		require.NoError(t, q.Push(start, entryOf("A", tree.ClassNormal, 1)))
+		require.NoError(t, q.Push(start, idle, entryOf("A", tree.ClassNormal, 1)))
 		q.Pop()
 	}
 	for range 20 {
-		require.NoError(t, q.Push(start, entryOf("A", tree.ClassNormal, 1)))
-		require.NoError(t, q.Push(start, entryOf("B", tree.ClassNormal, 1)))
+		require.NoError(t, q.Push(start, idle, entryOf("A", tree.ClassNormal, 1)))
+		require.NoError(t, q.Push(start, idle, entryOf("B", tree.ClassNormal, 1)))
 	}
 	served := map[model.TeamName]int{}
 	for range 20 {
@@ -79,17 +83,17 @@
 	q := New[model.TeamName]()
 	full := entryOf("A", tree.ClassNormal, 1)
 	full.MaxTeamWaiting = 1
-	require.NoError(t, q.Push(start, full))
+	require.NoError(t, q.Push(start, idle, full))
 	var refusal *model.Refusal
-	require.ErrorAs(t, q.Push(start, full), &refusal)
+	require.ErrorAs(t, q.Push(start, idle, full), &refusal)
 	require.Equal(t, model.ReasonOverload, refusal.Reason)
 	require.Equal(t, model.NotRun, refusal.Outcome)
 	require.Positive(t, refusal.RetryAfter)
 	late := entryOf("B", tree.ClassNormal, 1)
 	late.Deadline = start
-	require.ErrorAs(t, q.Push(start, late), &refusal)
+	require.ErrorAs(t, q.Push(start, idle, late), &refusal)
 	require.Equal(t, model.ReasonDeadline, refusal.Reason)
-	require.Len(t, q.Expire(start.Add(2*time.Hour)), 1)
+	require.Len(t, q.Refuse(start.Add(2*time.Hour), idle), 1)
 	require.Zero(t, q.Len())
 }
 
@@ -105,14 +109,14 @@
 				Team: model.TeamName(rune('A' + random.IntN(6))), Class: classes[random.IntN(3)], Weight: 1 + random.Float64(),
 				Deadline: start.Add(time.Duration(i+random.IntN(2000)) * time.Millisecond), MaxTeamWaiting: 1000, Value: i,
 			}
-			if q.Push(start.Add(time.Duration(i)*time.Millisecond), entry) == nil {
+			if q.Push(start.Add(time.Duration(i)*time.Millisecond), idle, entry) == nil {
 				waiting[i] = true
 			}
 			continue
 		}
-		for _, expired := range q.Expire(start.Add(time.Duration(i) * time.Millisecond)) {
-			require.True(t, waiting[expired.Value])
-			delete(waiting, expired.Value)
+		for _, refused := range q.Refuse(start.Add(time.Duration(i)*time.Millisecond), idle) {
+			require.True(t, waiting[refused.Entry.Value])
+			delete(waiting, refused.Entry.Value)
 		}
 		if entry, ok := q.Pop(); ok {
 			require.True(t, waiting[entry.Value], "an entry comes out once")
@@ -137,3 +141,62 @@
 	}
 	require.Equal(t, 11, c.Limit())
 }
+
+// TestExpectedWaitCountsEveryRequestThatGoesFirst guards against a request that waits behind others that were not counted: those of other
+// classes, and its own work.
+func TestExpectedWaitCountsEveryRequestThatGoesFirst(t *testing.T) {
+	const service = 100 * time.Millisecond
+	for _, c := range []struct {
+		name      string
+		own       tree.Class
+		others    tree.Class
+		count     int
+		free      int
+		timeout   time.Duration
+		wait      bool
+		leastWait time.Duration
+	}{
+		{"free slot", tree.ClassNormal, tree.ClassNormal, 0, 1, 250 * time.Millisecond, true, 0},
+		{"no time for the work", tree.ClassNormal, tree.ClassNormal, 0, 1, 150 * time.Millisecond, false, 0},
+		{"next at a busy slot", tree.ClassNormal, tree.ClassNormal, 0, 0, 350 * time.Millisecond, true, 0},
+		{"ten of the class before it", tree.ClassNormal, tree.ClassNormal, 10, 0, time.Second, false, 900 * time.Millisecond},
+		{"ten of a higher class before it", tree.ClassBrowsing, tree.ClassReservation, 10, 0, time.Second, false, time.Second},
+		{"ten of a lower class do not go first", tree.ClassReservation, tree.ClassBrowsing, 10, 0, 400 * time.Millisecond, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := New[model.TeamName]()
+			capacity := Capacity{Service: service, Slots: 1, Free: c.free}
+			for range c.count {
+				require.NoError(t, q.Push(start, capacity, entryOf("A", c.others, 1)))
+			}
+			entry := entryOf("A", c.own, 1)
+			entry.Deadline = start.Add(c.timeout)
+			err := q.Push(start, capacity, entry)
+			if c.wait {
+				require.NoError(t, err)
+				return
+			}
+			var refusal *model.Refusal
+			require.ErrorAs(t, err, &refusal)
+			require.GreaterOrEqual(t, refusal.RetryAfter, c.leastWait)
+		})
+	}
+}
+
+// TestWaitingRequestIsRefusedWhenOthersGoFirst guards against a decision that is made on arrival only.
+func TestWaitingRequestIsRefusedWhenOthersGoFirst(t *testing.T) {
+	q := New[model.TeamName]()
+	capacity := Capacity{Service: 100 * time.Millisecond, Slots: 1}
+	browsing := entryOf("A", tree.ClassBrowsing, 1)
+	browsing.Deadline = start.Add(time.Second)
+	require.NoError(t, q.Push(start, capacity, browsing))
+	require.Empty(t, q.Refuse(start, capacity))
+	for range 10 {
+		require.NoError(t, q.Push(start, capacity, entryOf("B", tree.ClassReservation, 1)))
+	}
+	refused := q.Refuse(start, capacity)
+	require.Len(t, refused, 1)
+	require.Equal(t, browsing.Team, refused[0].Entry.Team)
+	require.GreaterOrEqual(t, refused[0].RetryAfter, time.Second)
+	require.Equal(t, 10, q.Len())
+}
