A team's requests with the least time left go first, and an idle instance is always used

Callers with short deadlines were refused behind requests of their own team that had seconds to spare; and after a spell of slowness an instance got no request at all, since its mean latency left none of them time, so that the mean never fell again.

Now a team's requests in a class are ordered by the last instant at which they can start. Classes and teams take turns as before, first attempts and repetitions alike. A request that nobody else wants the slot of is started whatever the mean latency is: how long it takes tells how fast the instance is now.

Before: TestRequestWithLessTimeLeftGoesFirst and TestIdleInstanceIsUsedWhateverItsMeanLatency failed (both refused on arrival).

--- a/owner/scheduler.go
+++ b/owner/scheduler.go
@@ -72,6 +72,12 @@
 	}
 	s.mu.Lock()
 	now := s.now()
+	if s.queue.Len() == 0 && s.capacity().Free > 0 && now.Before(r.Deadline) {
+		// Nobody else wants the slot, and how long the request takes tells how fast the instance is now.
+		s.running++
+		s.mu.Unlock()
+		return nil
+	}
 	err := s.queue.Push(now, s.capacity(), entry)
 	s.dispatch(now)
 	latestStart := entry.LatestStart(s.capacity())
--- a/owner/scheduler_test.go
+++ b/owner/scheduler_test.go
@@ -113,3 +113,37 @@
 		time.Sleep(2 * time.Hour) // The waits of the others end.
 	})
 }
+
+// TestIdleInstanceIsUsedWhateverItsMeanLatency guards against an instance that gets no request after a spell of slowness: each was refused since the
+// mean latency left it no time, so the mean never fell again.
+func TestIdleInstanceIsUsedWhateverItsMeanLatency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slow, timeout = time.Second, 800 * time.Millisecond
+		s := newTestScheduler(slow)
+		require.NoError(t, (<-acquireLater(s, testRequest(time.Now(), timeout, tree.ClassNormal))).err)
+	})
+}
+
+// TestRequestWithLessTimeLeftGoesFirst guards against a request that is refused although one that came before it, of the same team and class, has
+// time to spare.
+func TestRequestWithLessTimeLeftGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const mean = 100 * time.Millisecond
+		s := newTestScheduler(mean)
+		start := time.Now()
+		fillSlots(t, s, start)
+		var patient []<-chan acquired
+		for range 6 {
+			patient = append(patient, acquireLater(s, testRequest(start, 10*time.Second, tree.ClassNormal)))
+		}
+		urgent := acquireLater(s, testRequest(start, 4*mean, tree.ClassNormal))
+		time.Sleep(mean)
+		s.release(time.Now(), mean)
+		require.NoError(t, (<-urgent).err)
+		for _, p := range patient {
+			time.Sleep(mean)
+			s.release(time.Now(), mean)
+			require.NoError(t, (<-p).err)
+		}
+	})
+}
--- a/queue/flow.go
+++ b/queue/flow.go
@@ -6,7 +6,7 @@
 	"github.com/crocusshore/crocusshore/model"
 )
 
-// flow holds the waiting requests of one team in one class. start is the virtual start time of its next entry, and finish the virtual
+// flow holds the waiting requests of one team in one class, those with the least time left first. start is the virtual start time of its next entry, and finish the virtual
 // finish time of the last entry that was taken.
 type flow[T any] struct {
 	entries *list.List
@@ -40,10 +40,37 @@
 	if f.entries.Len() == 0 {
 		f.start = max(l.virtualTime, f.finish)
 	}
-	f.entries.PushBack(entry)
+	f.insert(entry)
 	l.length++
 }
 
+// insert adds an entry behind those that have to start no later.
+func (f *flow[T]) insert(entry Entry[T]) {
+	latest := entry.latestStart()
+	at := f.entries.Back()
+	for at != nil && at.Value.(Entry[T]).latestStart().After(latest) {
+		at = at.Prev()
+	}
+	if at == nil {
+		f.entries.PushFront(entry)
+		return
+	}
+	f.entries.InsertAfter(entry, at)
+}
+
+// position returns how many requests of the team go before an entry that is not in the lane yet.
+func (l *lane[T]) position(entry Entry[T]) int {
+	f := l.flows[entry.Team]
+	if f == nil {
+		return 0
+	}
+	position := f.entries.Len()
+	for at := f.entries.Back(); at != nil && at.Value.(Entry[T]).latestStart().After(entry.latestStart()); at = at.Prev() {
+		position--
+	}
+	return position
+}
+
 func (l *lane[T]) waiting(team model.TeamName) int {
 	if f := l.flows[team]; f != nil {
 		return f.entries.Len()
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -59,7 +59,7 @@
 	}
 	c := q.class(entry.Class)
 	waiting := c.lane.waiting(entry.Team)
-	decision := q.decide(now, capacity, c, waiting, entry)
+	decision := q.decide(now, capacity, c, c.lane.position(entry), entry)
 	if entry.MaxTeamWaiting > 0 && waiting >= entry.MaxTeamWaiting {
 		return model.Refuse(model.ReasonOverload, "%d requests of the team already wait for this instance", entry.MaxTeamWaiting).WithRetryAfter(decision.RetryAfter)
 	}
