Operations wait for a missing instance as their own time allows, and are refused at once otherwise

Now wait.Outages forecasts the end of an outage: by what is known of it (no replacement announced, one announced for a primary that answers or fails, a promotion ordered) and by how long the last ones took from that stage; one longer than all of them is expected to last as long again as it is overdue. An operation waits while the primary may come in time for its work, with the timeout of its route; otherwise it is refused at once with the expected time, spread. The same for connections, repeated statements and the beginning of transactions; maxWaitShare, minWait, defaultRetryAfter, maxAttempts and busyPause go. How long instances take for a route is measured where the connection is, without waits.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -67,6 +67,7 @@
 }
 
 func (c *Conn) run(deadline time.Time, setup []model.Query, values map[string]string, q model.Query) (model.Reply, error) {
+	sentAt := clock.Now()
 	replies, err := c.instanceConn.Exchange(clock.Wall(deadline), append(setup, q)...)
 	if err != nil {
 		c.broken = true
@@ -83,7 +84,9 @@
 		// The instance has dropped a statement that is recorded as prepared on the connection.
 		c.broken = true
 	}
-	return replies[len(setup)], nil
+	reply := replies[len(setup)]
+	reply.Took = clock.Now().Sub(sentAt)
+	return reply, nil
 }
 
 // setup returns the queries that set the values on the connection and prepare the shape of p, unless it is prepared already. It records the
--- a/model/instanceconn.go
+++ b/model/instanceconn.go
@@ -53,6 +53,8 @@
 		State      TxState
 		// Mark is the end of the instance's log after the statement; it is zero if unknown.
 		Mark Mark
+		// Took is how long the instance took, as measured by the VM with the connection; it is 0 if unknown.
+		Took time.Duration
 	}
 
 	// InstanceConn is one connection to an instance, used by one goroutine at a time.
--- a/place/tracker.go
+++ b/place/tracker.go
@@ -14,19 +14,20 @@
 	failureTTL = 2 * time.Second
 	// slownessTTL is how long a measured slowness counts without new latencies.
 	slownessTTL = 3 * time.Second
-	// minConsecutiveFailures is the number of failures in a row after which an instance gets only one attempt every attemptInterval.
+	// minConsecutiveFailures is the number of failures in a row after which an instance gets only one attempt every AttemptInterval.
 	minConsecutiveFailures = 2
-	// attemptInterval is the pause between attempts at such an instance. It is so short that an attempt detects the recovery of the instance
+	// AttemptInterval is the pause between attempts at such an instance. It is so short that an attempt detects the recovery of the instance
 	// long before callers give up.
-	attemptInterval = 200 * time.Millisecond
+	AttemptInterval = 200 * time.Millisecond
 )
 
 type (
 	// Tracker keeps what this VM observed of the instances and what other VMs reported; it is safe for concurrent use.
 	Tracker struct {
 		mu sync.Mutex
-		// usualLatency is the moving average of the latencies of each route, in seconds.
+		// usualLatency is the moving average of the latencies of each route, and usualWork that of the time that instances took, in seconds.
 		usualLatency map[model.RouteName]float64
+		usualWork    map[model.RouteName]float64
 		instances    map[model.InstanceName]*instanceStats
 	}
 
@@ -51,6 +52,8 @@
 	Latency struct {
 		Route model.RouteName
 		Took  time.Duration
+		// Work is the part of it that the instance took, without waits for a connection; it is 0 if unknown.
+		Work time.Duration
 		// Direct reports that it was measured by the VM with the connection, so that it includes no wait for a connection.
 		Direct bool
 	}
@@ -68,7 +71,7 @@
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
-	return &Tracker{usualLatency: map[model.RouteName]float64{}, instances: map[model.InstanceName]*instanceStats{}}
+	return &Tracker{usualLatency: map[model.RouteName]float64{}, usualWork: map[model.RouteName]float64{}, instances: map[model.InstanceName]*instanceStats{}}
 }
 
 // RecordAnswer records the latency of a statement that an instance answered.
@@ -77,12 +80,11 @@
 	defer t.mu.Unlock()
 	s := t.stats(instance)
 	s.recordAlive(now)
-	took := l.Took.Seconds()
-	usual := t.usualLatency[l.Route]
-	if usual == 0 {
-		usual = took
+	if l.Work > 0 {
+		recordMean(t.usualWork, l.Route, l.Work.Seconds())
 	}
-	t.usualLatency[l.Route] = usual + smoothing*(took-usual)
+	took := l.Took.Seconds()
+	usual := recordMean(t.usualLatency, l.Route, took)
 	ratio := min(took/max(usual, 1e-6), 10)
 	if s.slowness == 0 || now.Sub(s.observedAt) > slownessTTL {
 		s.slowness, s.directLatencies = 1, 0
@@ -94,6 +96,23 @@
 	s.observedAt = now
 }
 
+// recordMean adds a sample to the moving average of a route, and returns the average before it or, if there was none, the sample.
+func recordMean(means map[model.RouteName]float64, route model.RouteName, sample float64) float64 {
+	mean, known := means[route]
+	if !known {
+		mean = sample
+	}
+	means[route] = mean + smoothing*(sample-mean)
+	return mean
+}
+
+// UsualWork returns how long instances usually take for a statement of a route; it is 0 if unknown.
+func (t *Tracker) UsualWork(route model.RouteName) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Duration(t.usualWork[route] * float64(time.Second))
+}
+
 // RecordAlive records that an instance answered. It records no latency, since the latency of this answer is not comparable with others.
 func (t *Tracker) RecordAlive(now time.Time, instance model.InstanceName) {
 	t.mu.Lock()
@@ -114,12 +133,12 @@
 }
 
 // TakeAttempt reports whether a statement may be sent to an instance; if so, it records an attempt. After minConsecutiveFailures failures in a
-// row an instance gets one attempt every attemptInterval, so that the statements in between do not have to wait for a time-out too.
+// row an instance gets one attempt every AttemptInterval, so that the statements in between do not have to wait for a time-out too.
 func (t *Tracker) TakeAttempt(now time.Time, instance model.InstanceName) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.stats(instance)
-	if s.failures >= minConsecutiveFailures && now.Sub(s.attemptedAt) < attemptInterval {
+	if s.failures >= minConsecutiveFailures && now.Sub(s.attemptedAt) < AttemptInterval {
 		return false
 	}
 	s.attemptedAt = now
--- a/queue/entry.go
+++ b/queue/entry.go
@@ -41,7 +41,9 @@
 func (e Entry[T]) LatestStart(capacity Capacity) time.Time { return e.left(capacity).LatestStart() }
 
 // latestStart is LatestStart as far as it depends on the request alone; requests of a team are ordered by it.
-func (e Entry[T]) latestStart() time.Time { return wait.Request{Deadline: e.Deadline, Work: e.Work}.LatestStart() }
+func (e Entry[T]) latestStart() time.Time {
+	return wait.Request{Deadline: e.Deadline, Work: e.Work}.LatestStart()
+}
 
 // left returns what the request has left.
 func (e Entry[T]) left(capacity Capacity) wait.Request {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -97,7 +97,7 @@
 // decide decides whether a request waits that has a position in the flow of its team.
 func (q *Queue[T]) decide(now time.Time, capacity Capacity, own *class[T], position int, entry Entry[T]) wait.Decision {
 	expected := now.Add(capacity.waitFor(q.turn(own, position, entry)))
-	return wait.Decide(now, expected, entry.left(capacity))
+	return wait.Decide(now, wait.At(expected), entry.left(capacity))
 }
 
 // turn returns how many waiting requests are served before one that has a position in the flow of its team. Teams of the class take turns by
--- /dev/null
+++ b/serve/await.go
@@ -0,0 +1,170 @@
+package serve
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/place"
+	"github.com/crocusshore/crocusshore/policy"
+	"github.com/crocusshore/crocusshore/state"
+	"github.com/crocusshore/crocusshore/wait"
+)
+
+const (
+	// leasePollInterval is the interval at which a statement that waits for an instance looks for one.
+	leasePollInterval = 8 * time.Millisecond
+
+	// stageNone is the stage of an outage in which no VM has announced that it replaces the primary.
+	stageNone wait.Stage = "None"
+	// stagePlanned and stageFailover follow the announcement; in stagePlanned the primary still answers.
+	stagePlanned  wait.Stage = "Planned"
+	stageFailover wait.Stage = "Failover"
+	// stageOrdered follows the order for the promotion.
+	stageOrdered wait.Stage = "Ordered"
+)
+
+// supply is what operations of a route need: the primary of its group or, for reads, any instance that may serve them.
+type supply struct {
+	group model.GroupName
+	// database names the route, unless primary is set.
+	database string
+	primary  bool
+}
+
+// supplyOf returns what an operation needs. All routes of a group need the same primary.
+func supplyOf(op operation, primary bool) supply {
+	if primary {
+		return supply{group: op.route.Group, primary: true}
+	}
+	return supply{group: op.route.Group, database: op.route.Database}
+}
+
+// awaitPrimary returns the primary of the operation's group. While it is being replaced, the operation waits as long as a new one may come
+// in time; otherwise awaitPrimary returns the refusal.
+func (c *callerSession) awaitPrimary(op operation) (to target, refusal model.Reply, found bool) {
+	refusal, found = c.await(op, true, "the group has no primary now", func(now time.Time) bool {
+		lease, leased := c.server.config.Cache.Lease(now, op.route.Group)
+		to = target{instance: lease.Primary, primary: true, lease: lease}
+		return leased
+	})
+	return to, refusal, found
+}
+
+// awaitInstance waits until an instance may take the operation, only the primary if primary is set. If none can be expected in time, it
+// returns the refusal.
+func (c *callerSession) awaitInstance(op operation, primary bool) (refusal model.Reply, found bool) {
+	return c.await(op, primary, "no instance can take the operation now", func(now time.Time) bool {
+		return c.server.hasInstance(now, op.route, primary)
+	})
+}
+
+// await waits until what an operation needs is found, as long as that may come in time.
+func (c *callerSession) await(op operation, primary bool, reason string, find func(now time.Time) bool) (refusal model.Reply, found bool) {
+	s, need := c.server, supplyOf(op, primary)
+	for {
+		now := clock.Now()
+		if find(now) {
+			s.outages.Available(now, need)
+			return model.Reply{}, true
+		}
+		decision := wait.Decide(now, s.outages.Missing(now, need, s.stage(now, op.route.Group)), c.left(op))
+		if !decision.Wait {
+			return s.refuse(model.FaultBusy, reason, decision.RetryAfter), false
+		}
+		time.Sleep(leasePollInterval)
+	}
+}
+
+// left returns what the operation has left: the time until its deadline, and its work.
+func (c *callerSession) left(op operation) wait.Request {
+	return wait.Request{Deadline: c.deadline(op), Work: c.server.config.Tracker.UsualWork(op.route.Name)}
+}
+
+// deadline returns the deadline of the operation's present statement.
+func (c *callerSession) deadline(op operation) time.Time {
+	return c.server.drain.Load().statementDeadline(op.startedAt, op.route.Timeout)
+}
+
+// hasInstance reports whether an instance may take operations of a route now, only the primary if primary is set.
+func (s *Server) hasInstance(now time.Time, route policy.Route, primary bool) bool {
+	if primary {
+		_, leased := s.config.Cache.Lease(now, route.Group)
+		return leased
+	}
+	return len(s.rankInstances(now, operation{route: route}, model.Mark{})) > 0
+}
+
+// stage returns how far the replacement of the primary of a group has come.
+func (s *Server) stage(now time.Time, group model.GroupName) wait.Stage {
+	snapshot := s.config.Cache.Snapshot()
+	record := snapshot.Primaries[group]
+	for _, order := range snapshot.Coordinator.Orders {
+		if order.Group == group && order.Kind == state.OrderPromote {
+			return stageOrdered
+		}
+	}
+	_, registered := snapshot.Instances[record.Primary]
+	health := s.config.Tracker.Health(now, record.Primary)
+	switch {
+	case record.Next == nil:
+		return stageNone
+	case registered && health.Failures == 0 && !health.ReportedFailing:
+		return stagePlanned
+	default:
+		return stageFailover
+	}
+}
+
+// observeOutages records the outages that have ended, also while nobody waits for their end.
+func (s *Server) observeOutages(now time.Time) {
+	p := s.config.Cache.Snapshot().Policy
+	if p == nil {
+		return
+	}
+	for _, need := range s.outages.Open() {
+		route, known := p.Routes[need.database]
+		if need.primary {
+			route, known = policy.Route{Group: need.group}, true
+		}
+		if !known || s.hasInstance(now, route, need.primary) {
+			s.outages.Available(now, need)
+		}
+	}
+}
+
+// pause waits before a statement that did not run is tried again, for the time after which that may succeed; 0 is an unknown time. It
+// reports whether the operation still has time then.
+func (c *callerSession) pause(op operation, after time.Duration) bool {
+	now := clock.Now()
+	if after == 0 {
+		after = c.unknownPause(now, op)
+	}
+	if !wait.Decide(now, wait.At(now.Add(after)), c.left(op)).Wait {
+		return false
+	}
+	time.Sleep(after)
+	return true
+}
+
+// unknownPause returns the pause before the next attempt if nothing is known of its success: as long again as the operation has tried.
+func (c *callerSession) unknownPause(now time.Time, op operation) time.Duration {
+	return max(now.Sub(op.startedAt), leasePollInterval)
+}
+
+// refuse returns a refusal whose caller may return after a time; the returns of callers are spread.
+func (s *Server) refuse(fault model.Fault, reason string, after time.Duration) model.Reply {
+	after = wait.Spread(after, rand.Float64())
+	return model.Reply{Fault: fault, Detail: s.config.RetryDetail(reason, after), RetryAfter: after}
+}
+
+// retryAfter returns the time after which an instance may take a statement that it did not take because of err; it is 0 if unknown.
+func (c *callerSession) retryAfter(err error) time.Duration {
+	if errors.Is(err, errRecentlyFailed) {
+		return place.AttemptInterval
+	}
+	return 0
+}
--- /dev/null
+++ b/serve/await_test.go
@@ -0,0 +1,61 @@
+package serve
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/state"
+)
+
+// recordPrimary registers the VM of a session and the primary of its group, which gives the VM a lease.
+func recordPrimary(t *testing.T, cache *state.Cache) {
+	t.Helper()
+	registration, err := state.VM{Name: "vm", Boot: "boot"}.Row()
+	require.NoError(t, err)
+	record, err := state.PrimaryRecord{Group: "g", Term: 1, Primary: "p"}.Row()
+	require.NoError(t, err)
+	registration.Version, record.Version = 1, 1
+	require.NoError(t, cache.ApplyRows(1, true, []model.StoredRow{registration, record}, clock.Now()))
+}
+
+// TestOperationWaitsForAPrimaryThatComesInTime guards against callers that are turned away although their own time allows to wait: the wait
+// was a fixed part of the latency objective.
+func TestOperationWaitsForAPrimaryThatComesInTime(t *testing.T) {
+	const replacement = 150 * time.Millisecond
+	c, cache := newSessionWithoutLease(&countingLimiter{}, 800*time.Millisecond)
+	c.server.outages.Missing(clock.Now(), supply{group: "g", primary: true}, stageNone)
+	c.server.outages.Available(clock.Now().Add(replacement), supply{group: "g", primary: true})
+	time.AfterFunc(replacement, func() { recordPrimary(t, cache) })
+	require.Empty(t, c.admitOperation(clock.Now(), true).refusal.Fault)
+}
+
+// TestOperationIsRefusedAtOnceIfNoPrimaryComesInTime guards against callers that are held for a refusal that is certain, and then return while
+// the primary is still missing.
+func TestOperationIsRefusedAtOnceIfNoPrimaryComesInTime(t *testing.T) {
+	const replacement, timeout = 3 * time.Second, 800 * time.Millisecond
+	c, _ := newSessionWithoutLease(&countingLimiter{}, timeout)
+	start := clock.Now()
+	c.server.outages.Missing(start, supply{group: "g", primary: true}, stageNone)
+	c.server.outages.Available(start.Add(replacement), supply{group: "g", primary: true})
+	op := c.admitOperation(start, true)
+	require.Equal(t, model.FaultBusy, op.refusal.Fault)
+	require.Less(t, clock.Now().Sub(start), 2*leasePollInterval)
+	require.GreaterOrEqual(t, op.refusal.RetryAfter, replacement-2*leasePollInterval)
+}
+
+// TestOperationIsRefusedOnceAnOutageLastsTooLong guards against callers that are held until their deadline by an outage whose end is unknown.
+func TestOperationIsRefusedOnceAnOutageLastsTooLong(t *testing.T) {
+	const timeout = 400 * time.Millisecond
+	c, _ := newSessionWithoutLease(&countingLimiter{}, timeout)
+	start := clock.Now()
+	op := c.admitOperation(start, true)
+	require.Equal(t, model.FaultBusy, op.refusal.Fault)
+	require.InDelta(t, timeout/2, clock.Now().Sub(start), float64(5*leasePollInterval), "the outage is expected to last as long again")
+	start = clock.Now()
+	require.Equal(t, model.FaultBusy, c.admitOperation(start, true).refusal.Fault)
+	require.Less(t, clock.Now().Sub(start), timeout/2)
+}
--- a/serve/pick.go
+++ b/serve/pick.go
@@ -5,7 +5,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/place"
@@ -16,12 +15,6 @@
 const (
 	// ageMargin is subtracted from the allowed staleness to cover the network delay to the instance and the granularity of clocks.
 	ageMargin = 30 * time.Millisecond
-	// maxWaitShare is the share of the latency objective that may be spent waiting for a connection to one instance.
-	maxWaitShare = 0.25
-	// minWait bounds that wait from below, so that a short objective still leaves time to open a connection.
-	minWait = 40 * time.Millisecond
-	// defaultRetryAfter is the retry time for a caller whose statement no instance could take.
-	defaultRetryAfter = 150 * time.Millisecond
 )
 
 // target is an instance to run a statement on, with the log position that it must have received and, if it is the primary, the lease under
@@ -61,40 +54,16 @@
 	return targets
 }
 
-// awaitInstance reports whether an instance may take the operation now, only the primary if primary is set. While none may, it waits as long as
-// the operation may wait for an instance.
-func (c *callerSession) awaitInstance(op operation, primary bool) bool {
-	waitUntil := c.waitUntil(op, op.startedAt)
-	for {
-		now := clock.Now()
-		if c.hasInstance(now, op, primary) {
-			return true
-		}
-		if !now.Before(waitUntil) {
-			return false
-		}
-		time.Sleep(leasePollInterval)
-	}
-}
-
-func (c *callerSession) hasInstance(now time.Time, op operation, primary bool) bool {
-	if primary {
-		_, leased := c.server.config.Cache.Lease(now, op.route.Group)
-		return leased
-	}
-	return len(c.server.rankInstances(now, op, c.session.LastCommit(op.route.Group))) > 0
-}
-
 // errRecentlyFailed reports an instance with consecutive failures whose next attempt is not due yet; nothing was sent.
 var errRecentlyFailed = errors.New("the instance failed recently and its next attempt is not due yet")
 
-// getConnection takes a connection of the team to the chosen instance.
-func (c *callerSession) getConnection(now time.Time, op operation, to target) (model.PooledConn, error) {
+// getConnection takes a connection of the team to the chosen instance and waits for it until an instant.
+func (c *callerSession) getConnection(now time.Time, op operation, to target, until time.Time) (model.PooledConn, error) {
 	if !c.server.config.Tracker.TakeAttempt(now, to.instance.Name) {
 		return nil, errRecentlyFailed
 	}
 	request := conns.Request{
-		Instance: to.instance, Team: op.team, Values: c.session.Values, Class: class(op.route.Priority), Route: op.route.Name, Deadline: c.waitUntil(op, now),
+		Instance: to.instance, Team: op.team, Values: c.session.Values, Class: class(op.route.Priority), Route: op.route.Name, Deadline: until,
 	}
 	if to.primary {
 		request.Term = to.lease.Term
@@ -104,16 +73,6 @@
 	return conn, err
 }
 
-// waitUntil returns until when an operation may wait that waits since an instant; a server that stops has to answer before it ends.
-func (c *callerSession) waitUntil(op operation, since time.Time) time.Time {
-	return c.server.drain.Load().statementDeadline(since, op.maxWait())
-}
-
-// maxWait returns how long the operation may wait for an instance, a connection or a primary before it is refused.
-func (o operation) maxWait() time.Duration {
-	return max(time.Duration(maxWaitShare*float64(o.route.TargetLatency)), minWait)
-}
-
 // class maps the priority of a route to the class of its requests.
 func class(priority int) tree.Class {
 	switch {
--- a/serve/read.go
+++ b/serve/read.go
@@ -14,14 +14,8 @@
 	"github.com/crocusshore/crocusshore/sess"
 )
 
-const (
-	// maxAttempts bounds the attempts to run one statement or to open one transaction.
-	maxAttempts = 6
-	// attemptShare is the share of the remaining time that one attempt may take, so that another instance can answer in time.
-	attemptShare = 0.45
-	// busyPause is the pause before instances that could not take the statement are tried again.
-	busyPause = 15 * time.Millisecond
-)
+// attemptShare is the share of the remaining time that one attempt may take, so that another instance can answer in time.
+const attemptShare = 0.45
 
 // attempt is the result of one attempt to run a statement on one instance.
 type attempt struct {
@@ -29,37 +23,37 @@
 	// sent is set if the statement may have reached the instance.
 	sent bool
 	err  error
+	// retryAfter is the time after which the instance may take the statement, if it did not; it is 0 if unknown.
+	retryAfter time.Duration
 }
 
 // read runs a single read, and runs it on another instance if one does not answer or cannot take it.
 func (c *callerSession) read(op operation, s statement) model.Reply {
-	deadline := c.server.drain.Load().statementDeadline(op.startedAt, op.route.Timeout)
 	step := sess.Step{Kind: sess.StepRead}
 	var last attempt
 	var lastInstance model.InstanceName
-	tried := map[model.InstanceName]bool{}
+	round := newRound()
 	attempts := 0
-	for now := op.startedAt; attempts < maxAttempts && now.Before(deadline); now = clock.Now() {
-		to, ok := c.nextUntried(now, op, tried)
+	for now := op.startedAt; now.Before(c.deadline(op)); now = clock.Now() {
+		to, ok := c.nextUntried(now, op, round.tried)
 		if !ok {
-			if now.After(c.waitUntil(op, op.startedAt)) {
+			if !c.pause(op, round.retryAfter) {
 				break
 			}
-			time.Sleep(busyPause)
-			clear(tried)
+			round = newRound()
 			continue
 		}
-		tried[to.instance.Name] = true
 		attempts++
 		lastInstance = to.instance.Name
-		last = c.tryRead(now, deadline, op, s, to)
+		last = c.tryRead(now, op, s, to)
+		round.add(to.instance.Name, last)
 		if last.err == nil && (last.reply.Fault == "" || !last.reply.Fault.NotRun()) {
-			reply := sess.CallerReply(step, last.reply, true)
+			reply := c.advise(op, sess.CallerReply(step, last.reply, true))
 			c.report(op, s.command, lastInstance, reply, attempts)
 			return reply
 		}
 	}
-	reply := c.unservedReply(step, last, deadline)
+	reply := c.advise(op, c.unservedReply(op, step, last, round.retryAfter))
 	c.report(op, s.command, lastInstance, reply, attempts)
 	return reply
 }
@@ -74,32 +68,35 @@
 	return target{}, false
 }
 
-// unservedReply returns the reply to a read that no instance served.
-func (c *callerSession) unservedReply(step sess.Step, last attempt, deadline time.Time) model.Reply {
+// unservedReply returns the reply to a read that no instance served; one may after retryAfter, which is 0 if unknown.
+func (c *callerSession) unservedReply(op operation, step sess.Step, last attempt, retryAfter time.Duration) model.Reply {
 	if !last.sent {
-		return c.server.refuse(model.FaultBusy, "no instance can take the statement", defaultRetryAfter)
+		if retryAfter == 0 {
+			retryAfter = c.unknownPause(clock.Now(), op)
+		}
+		return c.server.refuse(model.FaultBusy, "no instance can take the statement", retryAfter)
 	}
 	if last.err == nil {
 		return sess.CallerReply(step, last.reply, true)
 	}
-	return model.Reply{Fault: sess.UnansweredFault(step, !clock.Now().Before(deadline)), Detail: "no instance answered"}
+	return model.Reply{Fault: sess.UnansweredFault(step, !clock.Now().Before(c.deadline(op))), Detail: "no instance answered"}
 }
 
-func (c *callerSession) tryRead(now, deadline time.Time, op operation, s statement, to target) attempt {
-	conn, err := c.getConnection(now, op, to)
+func (c *callerSession) tryRead(now time.Time, op operation, s statement, to target) attempt {
+	conn, err := c.getConnection(now, op, to, c.attemptDeadline(now, c.left(op).LatestStart()))
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
-		return attempt{err: err}
+		return attempt{err: err, retryAfter: c.retryAfter(err)}
 	}
 	defer func() { c.server.config.Source.Put(clock.Now(), conn) }()
 	sentAt := clock.Now()
 	if to.primary && !c.server.config.Cache.LeaseValid(sentAt, to.lease) {
 		return attempt{err: errLease}
 	}
-	reply, err := c.send(conn, c.attemptDeadline(sentAt, deadline), s, to.since)
+	reply, err := c.send(conn, c.attemptDeadline(sentAt, c.deadline(op)), s, to.since)
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
-		return attempt{err: err, sent: !errors.Is(err, model.ErrNotSent)}
+		return attempt{err: err, sent: !errors.Is(err, model.ErrNotSent), retryAfter: c.retryAfter(err)}
 	}
 	c.recordAnswer(sentAt, op, to, true, reply)
 	return attempt{reply: reply, sent: true}
@@ -123,7 +120,7 @@
 func (s *Server) trackAnswer(sentAt time.Time, instance model.InstanceName, info latencyInfo, reply model.Reply) {
 	now := clock.Now()
 	if info.measured && reply.Fault == "" {
-		s.config.Tracker.RecordAnswer(now, place.Latency{Route: info.route, Took: now.Sub(sentAt), Direct: info.direct}, instance)
+		s.config.Tracker.RecordAnswer(now, place.Latency{Route: info.route, Took: now.Sub(sentAt), Work: reply.Took, Direct: info.direct}, instance)
 	} else {
 		s.config.Tracker.RecordAlive(now, instance)
 	}
--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -33,11 +33,13 @@
 	maxFastPollFailures = 3
 )
 
-// RefreshSamples keeps the samples of the groups recent enough for their routes until the context ends, and trims the connection pool.
+// RefreshSamples keeps the samples of the groups recent enough for their routes until the context ends, trims the connection pool and observes
+// which outages have ended.
 func (s *Server) RefreshSamples(ctx context.Context) {
 	for retry.Sleep(ctx, refreshInterval) {
 		now := clock.Now()
 		s.config.Pool.Trim()
+		s.observeOutages(now)
 		reader := s.config.IsReader()
 		wanted, share := s.readDemand.active(now), defaultAgeShare
 		if reader {
--- a/serve/server.go
+++ b/serve/server.go
@@ -15,6 +15,7 @@
 	"github.com/crocusshore/crocusshore/sample"
 	"github.com/crocusshore/crocusshore/share"
 	"github.com/crocusshore/crocusshore/state"
+	"github.com/crocusshore/crocusshore/wait"
 )
 
 type (
@@ -57,6 +58,8 @@
 		commits    *commitTracker
 		sent       *sentCommits
 		readDemand *readDemand
+		// outages forecasts when instances that operations wait for are available again.
+		outages *wait.Outages[supply]
 		// pollRounds limits the rounds of requests for log positions and term checks.
 		pollRounds *pollRounds
 		// drain is the plan by which the server stops, and nil while it does not stop.
@@ -73,7 +76,7 @@
 
 // New returns a server without callers.
 func New(config Config) *Server {
-	return &Server{config: config, inflight: newInflight(), commits: newCommitTracker(), sent: newSentCommits(), readDemand: newReadDemand(), pollRounds: newPollRounds(), sessions: map[*callerSession]struct{}{}}
+	return &Server{config: config, inflight: newInflight(), commits: newCommitTracker(), sent: newSentCommits(), readDemand: newReadDemand(), outages: wait.NewOutages[supply](), pollRounds: newPollRounds(), sessions: map[*callerSession]struct{}{}}
 }
 
 // Open counts the session of a caller as open; the returned function serves it until it ends.
--- a/serve/session.go
+++ b/serve/session.go
@@ -94,7 +94,6 @@
 		if !c.owed.claim() {
 			return
 		}
-		reply = c.server.addRetryAdvice(reply)
 		reply.State = c.session.State
 		c.inTransaction.Store(c.session.State != model.TxNone)
 		if err := c.conn.Answer(reply); err != nil || last {
@@ -214,12 +213,12 @@
 		return op
 	}
 	if !c.server.drain.Load().mayRun(now) {
-		op.refusal = c.server.refuse(model.FaultBusy, stoppingDetail, defaultRetryAfter)
+		op.refusal = c.server.refuse(model.FaultBusy, stoppingDetail, 0)
 		return op
 	}
 	c.server.readDemand.record(now, route)
-	if !c.awaitInstance(op, primary) {
-		op.refusal = c.server.refuse(model.FaultBusy, "no instance can take the operation now", defaultRetryAfter)
+	if refusal, found := c.awaitInstance(op, primary); !found {
+		op.refusal = refusal
 		return op
 	}
 	limits, known := c.server.config.Cache.Snapshot().Policy.Teams[team]
@@ -236,16 +235,12 @@
 	return op
 }
 
-func (s *Server) refuse(fault model.Fault, reason string, after time.Duration) model.Reply {
-	return model.Reply{Fault: fault, Detail: s.config.RetryDetail(reason, after), RetryAfter: after}
-}
-
-// addRetryAdvice adds a retry time to the refusal of an instance, which has none of its own.
-func (s *Server) addRetryAdvice(reply model.Reply) model.Reply {
+// advise adds a retry time to the refusal of an instance, which has none of its own: as long again as the operation has tried.
+func (c *callerSession) advise(op operation, reply model.Reply) model.Reply {
 	switch reply.Fault {
 	case model.FaultBusy, model.FaultLagging, model.FaultReadOnly:
 		if reply.RetryAfter == 0 {
-			return s.refuse(reply.Fault, "refused by the instance "+reply.Detail, defaultRetryAfter)
+			return c.server.refuse(reply.Fault, "refused by the instance "+reply.Detail, c.unknownPause(clock.Now(), op))
 		}
 	}
 	return reply
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -53,10 +53,9 @@
 	}
 	op := c.tx.op
 	op.startedAt = now
-	deadline := c.server.drain.Load().statementDeadline(now, op.route.Timeout)
-	reply, ok := c.bind(now, deadline, command)
+	reply, ok := c.bind(op, command)
 	if ok {
-		reply = c.sendInTransaction(deadline, s)
+		reply = c.advise(op, c.sendInTransaction(c.deadline(op), s))
 	}
 	c.report(op, command, c.tx.target.instance.Name, reply, 1)
 	if reply.Fault != "" {
@@ -86,43 +85,53 @@
 }
 
 // bind opens the transaction on an instance, unless that is done already, and keeps the connection.
-func (c *callerSession) bind(now, deadline time.Time, command model.Command) (model.Reply, bool) {
+func (c *callerSession) bind(op operation, command model.Command) (refusal model.Reply, bound bool) {
 	if c.tx.conn != nil {
 		return model.Reply{}, true
 	}
-	tried := map[model.InstanceName]bool{}
-	var last attempt
-	for range maxAttempts {
-		to, ok := c.transactionTarget(now, tried)
-		if !ok || !now.Before(deadline) {
-			break
+	round := newRound()
+	for {
+		to, refusal, found := c.transactionTarget(op, round.tried)
+		if refusal.Fault != "" {
+			return refusal, false
 		}
-		tried[to.instance.Name] = true
-		last = c.tryBegin(now, deadline, to)
+		if !found {
+			if !c.pause(op, round.retryAfter) {
+				return c.server.refuse(model.FaultBusy, "no instance can open the transaction", c.unknownPause(clock.Now(), op)), false
+			}
+			round = newRound()
+			continue
+		}
+		last := c.tryBegin(op, to)
+		round.add(to.instance.Name, last)
 		if last.err == nil && last.reply.Fault == "" {
 			c.tx.target = to
 			return model.Reply{}, true
 		}
 		c.server.config.Log.Debug("transaction not opened", "id", command.ID, "instance", to.instance.Name, "fault", last.reply.Fault, "error", last.err)
-		now = clock.Now()
 	}
-	return c.server.refuse(model.FaultBusy, "no instance can open the transaction", defaultRetryAfter), false
 }
 
-// transactionTarget returns an instance on which the transaction can be opened.
-func (c *callerSession) transactionTarget(now time.Time, tried map[model.InstanceName]bool) (target, bool) {
+// transactionTarget returns an instance on which the transaction can be opened, none if all have been tried, or a refusal.
+func (c *callerSession) transactionTarget(op operation, tried map[model.InstanceName]bool) (to target, refusal model.Reply, found bool) {
 	if c.tx.readOnly {
-		return c.nextUntried(now, c.tx.op, tried)
+		to, found = c.nextUntried(clock.Now(), op, tried)
+		return to, model.Reply{}, found
 	}
-	to, ok := c.awaitPrimary(c.tx.op)
-	return to, ok && !tried[to.instance.Name]
+	to, refusal, found = c.awaitPrimary(op)
+	return to, refusal, found && !tried[to.instance.Name]
 }
 
-func (c *callerSession) tryBegin(now, deadline time.Time, to target) attempt {
-	conn, err := c.getConnection(now, c.tx.op, to)
+func (c *callerSession) tryBegin(op operation, to target) attempt {
+	now := clock.Now()
+	until := c.left(op).LatestStart()
+	if c.tx.readOnly {
+		until = c.attemptDeadline(now, until)
+	}
+	conn, err := c.getConnection(now, op, to, until)
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
-		return attempt{err: err}
+		return attempt{err: err, retryAfter: c.retryAfter(err)}
 	}
 	sentAt := clock.Now()
 	if to.primary && !c.server.config.Cache.LeaseValid(sentAt, to.lease) {
@@ -130,7 +139,7 @@
 		return attempt{err: errLease}
 	}
 	begin := model.Query{ID: c.tx.beginID, Text: c.server.config.Formatter.Begin(c.tx.readOnly), Since: to.since}
-	reply, err := conn.Run(c.attemptDeadline(sentAt, deadline), c.session.Values, begin)
+	reply, err := conn.Run(c.attemptDeadline(sentAt, c.deadline(op)), c.session.Values, begin)
 	if err == nil && reply.Fault == "" && reply.State != model.TxOpen {
 		err = errors.New("the instance did not open the transaction")
 		conn.Break()
@@ -162,10 +171,9 @@
 	}
 	op := c.tx.op
 	op.startedAt = now
-	deadline := c.server.drain.Load().statementDeadline(now, op.route.Timeout)
-	reply, ok := c.bind(now, deadline, command)
+	reply, ok := c.bind(op, command)
 	if ok {
-		reply = c.runCommit(op, command, deadline)
+		reply = c.advise(op, c.runCommit(op, command, c.deadline(op)))
 	}
 	c.report(op, command, c.tx.target.instance.Name, reply, 1)
 	c.closeTransaction()
--- a/serve/write.go
+++ b/serve/write.go
@@ -11,64 +11,52 @@
 	"github.com/crocusshore/crocusshore/sess"
 )
 
-// leasePollInterval is the interval at which a statement that waits for a primary looks for a lease.
-const leasePollInterval = 8 * time.Millisecond
-
-// awaitPrimary returns the primary of the operation's group; while it is being replaced, it waits as long as the latency objective allows.
-func (c *callerSession) awaitPrimary(op operation) (target, bool) {
-	waitUntil := c.waitUntil(op, op.startedAt)
-	for {
-		now := clock.Now()
-		lease, ok := c.server.config.Cache.Lease(now, op.route.Group)
-		if ok {
-			return target{instance: lease.Primary, primary: true, lease: lease}, true
-		}
-		if !now.Before(waitUntil) {
-			return target{}, false
-		}
-		time.Sleep(leasePollInterval)
-	}
-}
-
 // write runs a single write at most once.
 func (c *callerSession) write(op operation, s statement) model.Reply {
 	step := sess.Step{Kind: sess.StepWrite}
-	deadline := c.server.drain.Load().statementDeadline(op.startedAt, op.route.Timeout)
-	waitUntil := c.waitUntil(op, op.startedAt)
 	var reply model.Reply
 	var to target
 	for attempts := 1; ; attempts++ {
-		var known bool
-		to, known = c.awaitPrimary(op)
-		if !known {
-			reply = c.server.refuse(model.FaultBusy, "the group has no primary now", defaultRetryAfter)
+		var found bool
+		to, reply, found = c.awaitPrimary(op)
+		if !found {
 			c.report(op, s.command, "", reply, attempts)
 			return reply
 		}
-		reply = c.tryWrite(op, s, to, step, deadline)
-		if !reply.Fault.NotRun() || attempts >= maxAttempts || !clock.Now().Add(busyPause).Before(waitUntil) {
+		var retryAfter time.Duration
+		reply, retryAfter = c.tryWrite(op, s, to, step)
+		if !reply.Fault.NotRun() || !c.pause(op, retryAfter) {
+			reply = c.advise(op, reply)
 			c.report(op, s.command, to.instance.Name, reply, attempts)
 			return reply
 		}
-		time.Sleep(busyPause)
 	}
 }
 
-func (c *callerSession) tryWrite(op operation, s statement, to target, step sess.Step, deadline time.Time) model.Reply {
-	conn, err := c.getConnection(clock.Now(), op, to)
+// tryWrite runs a write on the primary. If it did not run, it may after retryAfter, which is 0 if unknown.
+func (c *callerSession) tryWrite(op operation, s statement, to target, step sess.Step) (reply model.Reply, retryAfter time.Duration) {
+	now := clock.Now()
+	conn, err := c.getConnection(now, op, to, c.left(op).LatestStart())
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
-		return c.server.refuse(model.FaultBusy, "the primary takes no connection", defaultRetryAfter)
+		return c.refuseNotSent(op, err)
 	}
 	defer func() { c.server.config.Source.Put(clock.Now(), conn) }()
-	reply, err := c.sendPossibleCommit(conn, op, s, to, step, deadline)
-	switch {
-	case errors.IsAny(err, errLease, remote.ErrLease):
-		return c.server.refuse(model.FaultBusy, "the primary is being replaced", defaultRetryAfter)
-	case err != nil:
-		return c.server.refuse(model.FaultBusy, "the primary takes no connection", defaultRetryAfter)
+	reply, err = c.sendPossibleCommit(conn, op, s, to, step, c.deadline(op))
+	if err != nil {
+		return c.refuseNotSent(op, err)
+	}
+	return reply, 0
+}
+
+// refuseNotSent returns the refusal of a write of which the primary received nothing because of err, and the time after which it may.
+func (c *callerSession) refuseNotSent(op operation, err error) (refusal model.Reply, retryAfter time.Duration) {
+	reason := "the primary takes no connection"
+	if errors.IsAny(err, errLease, remote.ErrLease) {
+		reason = "the primary is being replaced"
 	}
-	return reply
+	retryAfter = c.retryAfter(err)
+	return c.server.refuse(model.FaultBusy, reason, max(retryAfter, c.unknownPause(clock.Now(), op))), retryAfter
 }
 
 // sendPossibleCommit sends a statement that may commit; an error means that nothing was sent. Until it is settled what the statement
--- a/wait/decide.go
+++ b/wait/decide.go
@@ -21,9 +21,15 @@
 		Work time.Duration
 	}
 
+	// Forecast tells when something that is missing is available again.
+	Forecast struct {
+		// Earliest is the first instant at which it may be, and Expected the one at which it usually is.
+		Earliest, Expected time.Time
+	}
+
 	// Decision tells whether a request waits.
 	Decision struct {
-		// Wait reports that what the request lacks is expected in time; otherwise the request is to be refused now.
+		// Wait reports that what the request lacks may come in time; otherwise the request is to be refused now.
 		Wait bool
 		// Until is the last instant at which the request can start in time.
 		Until time.Time
@@ -35,14 +41,17 @@
 // LatestStart returns the last instant at which a request can start and usually end by its deadline.
 func (r Request) LatestStart() time.Time { return r.Deadline.Add(-workFactor * r.Work) }
 
-// Decide decides whether a request waits for something that is expected at an instant. The decision has to be made again when the
-// expectation or the usual duration of the work changes, and at Until.
-func Decide(now, expected time.Time, r Request) Decision {
+// At returns the forecast of something that is expected at an instant and not before.
+func At(instant time.Time) Forecast { return Forecast{Earliest: instant, Expected: instant} }
+
+// Decide decides whether a request waits for something that it lacks. The decision has to be made again when the forecast or the usual
+// duration of the work changes, and at Until.
+func Decide(now time.Time, forecast Forecast, r Request) Decision {
 	latest := r.LatestStart()
 	return Decision{
-		Wait:       now.Before(latest) && !expected.After(latest),
+		Wait:       now.Before(latest) && !forecast.Earliest.After(latest),
 		Until:      latest,
-		RetryAfter: max(expected.Sub(now), minRetryAfter),
+		RetryAfter: max(forecast.Expected.Sub(now), minRetryAfter),
 	}
 }
 
--- /dev/null
+++ b/wait/outages_test.go
@@ -0,0 +1,56 @@
+package wait
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const failover Stage = "Failover"
+
+func TestFirstOutageIsExpectedToLastAsLongAgain(t *testing.T) {
+	o := NewOutages[string]()
+	start := time.Unix(1000, 0)
+	for _, elapsed := range []time.Duration{0, 10 * time.Millisecond, time.Second} {
+		now := start.Add(elapsed)
+		require.Equal(t, At(now.Add(elapsed)), o.Missing(now, "g", failover))
+	}
+}
+
+func TestOutageIsExpectedToLastAsLongAsEarlierOnes(t *testing.T) {
+	o := NewOutages[string]()
+	at := time.Unix(1000, 0)
+	for _, lasted := range []time.Duration{2 * time.Second, 4 * time.Second} {
+		o.Missing(at, "g", failover)
+		o.Available(at.Add(lasted), "g")
+		at = at.Add(time.Minute)
+	}
+	after := func(d time.Duration) time.Time { return at.Add(d) }
+	for _, c := range []struct {
+		elapsed            time.Duration
+		earliest, expected time.Time
+	}{
+		{0, after(2 * time.Second), after(3 * time.Second)},
+		{time.Second, after(2 * time.Second), after(3 * time.Second)},
+		{2500 * time.Millisecond, after(2500 * time.Millisecond), after(3 * time.Second)},
+		{3500 * time.Millisecond, after(3500 * time.Millisecond), after(4 * time.Second)},
+		{5 * time.Second, after(6 * time.Second), after(6 * time.Second)},
+	} {
+		require.Equal(t, Forecast{Earliest: c.earliest, Expected: c.expected}, o.Missing(after(c.elapsed), "other", failover), "after %s", c.elapsed)
+	}
+}
+
+func TestStagesOfAnOutageAreForecastApart(t *testing.T) {
+	const ordered Stage = "Ordered"
+	o := NewOutages[string]()
+	start := time.Unix(1000, 0)
+	o.Missing(start, "g", failover)
+	o.Missing(start.Add(3*time.Second), "g", ordered)
+	o.Available(start.Add(3300*time.Millisecond), "g")
+	require.Empty(t, o.Open())
+	later := start.Add(time.Minute)
+	require.Equal(t, later.Add(3300*time.Millisecond), o.Missing(later, "g", failover).Expected)
+	require.Equal(t, later.Add(300*time.Millisecond), o.Missing(later, "h", ordered).Expected)
+	require.ElementsMatch(t, []string{"g", "h"}, o.Open())
+}
