Requests for a connection are refused by the time they have, not by their number

Callers were refused as the 33rd of a team although connections came free soon, waited for connections that could not come free in their time, and were held 400 ms while a connection to a dark instance was opened for a request with less time.

Cause: conns had no estimate; the deadline of the wait was a part of the latency objective; a dial had a timeout of its own only.

Now a bucket measures for how long connections are held, and the queue of the package queue decides on arrival, on each returned connection and at the deadline. Refusals tell when a connection is expected, also those of another VM that owns it (remote.Answer.RetryAfter). A dial ends with the caller's time; one that was cut short is no evidence against the instance. Callers of a team are bounded by their sessions, so the count goes.

--- a/conns/bucket.go
+++ b/conns/bucket.go
@@ -1,6 +1,37 @@
 package conns
 
-import "time"
+import (
+	"time"
+
+	"github.com/crocusshore/crocusshore/queue"
+)
+
+// holdSmoothing is the weight of one sample in the moving average of the time for which connections are held.
+const holdSmoothing = 0.1
+
+// recordHold records for how long a connection was held, unless it was for a status request.
+func (b *bucket) recordHold(now time.Time, c *Conn) {
+	if c.takenAt.IsZero() {
+		return
+	}
+	held := now.Sub(c.takenAt)
+	if b.usualHold == 0 {
+		b.usualHold = held
+	}
+	b.usualHold += time.Duration(holdSmoothing * float64(held-b.usualHold))
+}
+
+// capacity returns how fast waiting requests get connections.
+func (b *bucket) capacity(budget int) queue.Capacity {
+	return queue.Capacity{Service: b.usualHold, Slots: budget}
+}
+
+// refuseLate ends the waits of the requests that get no connection in time any more.
+func (b *bucket) refuseLate(now time.Time, budget int) {
+	for _, refused := range b.waiting.Refuse(now, b.capacity(budget)) {
+		refused.Entry.Value.decided <- decision{refused: true, retryAfter: refused.RetryAfter}
+	}
+}
 
 // canGrant reports whether a request could be granted a connection or the permission to open one.
 func (b *bucket) canGrant(now time.Time, budget int) bool {
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -27,8 +27,17 @@
 	values            map[string]string
 	prepared          map[model.Prepared]string
 	preparedNameCount int
-	usedAt            time.Time
-	broken            bool
+	// takenAt is when a statement or transaction of a caller took the connection, and usedAt when it was last returned.
+	takenAt, usedAt time.Time
+	broken          bool
+}
+
+// taken records that a request took the connection.
+func (c *Conn) taken(now time.Time, request Request) {
+	c.takenAt = time.Time{}
+	if !request.AnyTeam {
+		c.takenAt = now
+	}
 }
 
 // Matches reports whether exactly these session values are set on the connection.
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -71,11 +71,14 @@
 	conns []*fakeInstanceConn
 	teams []model.TeamName
 	err   error
+	// deadline is that of the last connection.
+	deadline time.Time
 }
 
-func (d *fakeDialer) Dial(_ time.Time, _ model.Instance, team model.TeamName) (model.InstanceConn, error) {
+func (d *fakeDialer) Dial(deadline time.Time, _ model.Instance, team model.TeamName) (model.InstanceConn, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.deadline = deadline
 	if d.err != nil {
 		return nil, d.err
 	}
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -4,8 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/queue"
@@ -15,15 +13,10 @@
 const (
 	// dialTimeout bounds the opening of a connection; a healthy instance takes about 15 ms.
 	dialTimeout = 400 * time.Millisecond
-	// maxTeamWaiters bounds the requests of one team that wait for one instance.
-	maxTeamWaiters = 32
 	// refusedPause is the pause before the next connection is opened to an instance that refused one because it had too many.
 	refusedPause = 300 * time.Millisecond
 )
 
-// ErrBusy reports that no connection became free in time; nothing was sent.
-var ErrBusy = errors.New("all connections to the instance are in use")
-
 type (
 	// Config holds the dependencies of a pool.
 	Config struct {
@@ -39,7 +32,7 @@
 		Team     model.TeamName
 		Values   map[string]string
 		Class    tree.Class
-		// Deadline is when waiting ends.
+		// Deadline is when the statement has to start at the latest.
 		Deadline time.Time
 		// AnyTeam accepts an idle connection of any team; it is for administrative statements and status requests.
 		AnyTeam bool
@@ -65,6 +58,8 @@
 		open        int
 		waiting     *queue.Queue[*waiter]
 		pausedUntil time.Time
+		// usualHold is the moving average of the time for which statements and transactions hold a connection; it is 0 if unknown.
+		usualHold time.Duration
 	}
 
 	// grant is what a request gets: a connection, or the permission to open one after closing evict if that is set.
@@ -73,9 +68,17 @@
 		evict *Conn
 	}
 
+	// waiter is a request that waits; decided receives a grant or, if refused is set, the end of the wait.
 	waiter struct {
 		request Request
-		granted chan grant
+		decided chan decision
+	}
+
+	decision struct {
+		grant   grant
+		refused bool
+		// retryAfter is the time after which a refused request would have been granted a connection.
+		retryAfter time.Duration
 	}
 )
 
@@ -93,13 +96,16 @@
 		p.mu.Unlock()
 		return p.fulfil(request, g)
 	}
-	w := &waiter{request: request, granted: make(chan grant, 1)}
-	err := b.waiting.Push(now, queue.Capacity{}, queue.Entry[*waiter]{
-		Team: request.Team, Class: request.Class, Weight: 1, Deadline: request.Deadline, MaxTeamWaiting: maxTeamWaiters, Value: w,
+	w := &waiter{request: request, decided: make(chan decision, 1)}
+	err := b.waiting.Push(now, b.capacity(p.config.Budget(request.Instance)), queue.Entry[*waiter]{
+		Team: request.Team, Class: request.Class, Weight: 1, Deadline: request.Deadline, Value: w,
 	})
+	if err == nil {
+		b.refuseLate(now, p.config.Budget(request.Instance))
+	}
 	p.mu.Unlock()
 	if err != nil {
-		return nil, errors.Mark(err, ErrBusy)
+		return nil, busyError(err)
 	}
 	return p.await(now, w)
 }
@@ -108,20 +114,31 @@
 	timer := time.NewTimer(w.request.Deadline.Sub(now))
 	defer timer.Stop()
 	select {
-	case g := <-w.granted:
-		return p.fulfil(w.request, g)
+	case d := <-w.decided:
+		return p.follow(w.request, d)
 	case <-timer.C:
 	}
 	p.mu.Lock()
 	b := p.bucket(w.request.Instance)
 	b.waiting.Remove(func(other *waiter) bool { return other == w })
+	retryAfter := b.usualHold
 	p.mu.Unlock()
 	select {
-	case g := <-w.granted:
-		p.returnGrant(w.request.Instance, g)
+	case d := <-w.decided:
+		if !d.refused {
+			p.returnGrant(w.request.Instance, d.grant)
+		}
 	default:
 	}
-	return nil, ErrBusy
+	return nil, busy(retryAfter)
+}
+
+// follow returns the connection of a granted request, or the error of a refused one.
+func (p *Pool) follow(request Request, d decision) (*Conn, error) {
+	if d.refused {
+		return nil, busy(d.retryAfter)
+	}
+	return p.fulfil(request, d.grant)
 }
 
 // returnGrant returns a grant that arrived after the wait for it had ended.
@@ -142,30 +159,52 @@
 
 // fulfil returns the granted connection or opens one.
 func (p *Pool) fulfil(request Request, g grant) (*Conn, error) {
+	now := clock.Now()
 	if g.conn != nil {
+		g.conn.taken(now, request)
 		return g.conn, nil
 	}
+	if !now.Before(request.Deadline) {
+		p.returnGrant(request.Instance, g)
+		return nil, busy(0)
+	}
 	if g.evict != nil {
 		g.evict.instanceConn.Close()
 	}
-	deadline := clock.Now().Add(dialTimeout)
+	deadline := now.Add(dialTimeout)
+	cutShort := request.Deadline.Before(deadline)
+	if cutShort {
+		deadline = request.Deadline
+	}
 	conn, err := p.config.Dialer.Dial(clock.Wall(deadline), request.Instance, request.Team)
 	if err == nil {
-		return &Conn{
+		c := &Conn{
 			Instance: request.Instance, Team: request.Team, instanceConn: conn, formatter: p.config.Formatter,
 			prepared: map[model.Prepared]string{},
-		}, nil
+		}
+		c.taken(now, request)
+		return c, nil
 	}
+	return nil, p.dialFailed(request, err, cutShort)
+}
+
+// dialFailed returns the grant of a connection that was not opened, and the error for the request. A connection that the deadline of the request
+// cut short is no evidence against the instance.
+func (p *Pool) dialFailed(request Request, err error, cutShort bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.bucket(request.Instance)
 	b.open--
 	now := clock.Now()
-	if refused, ok := model.Refused(err); ok && refused.Fault == model.FaultTooMany {
+	refused, ok := model.Refused(err)
+	if ok && refused.Fault == model.FaultTooMany {
 		b.pausedUntil = now.Add(refusedPause)
 	}
 	p.grantWaiting(now, b)
-	return nil, err
+	if cutShort && !ok && !now.Before(request.Deadline) {
+		return busyError(err)
+	}
+	return err
 }
 
 // Put takes a connection back; it closes one that is broken or beyond the budget.
@@ -174,6 +213,7 @@
 	defer p.mu.Unlock()
 	b := p.bucket(c.Instance)
 	c.usedAt = now
+	b.recordHold(now, c)
 	if c.broken || b.instance.Address != c.Instance.Address || b.open > p.config.Budget(b.instance) {
 		c.instanceConn.Close()
 		b.open--
@@ -238,7 +278,7 @@
 
 // grantWaiting grants what is available to the waiting requests; the caller holds the lock.
 func (p *Pool) grantWaiting(now time.Time, b *bucket) {
-	b.waiting.Refuse(now, queue.Capacity{}) // Their own timers end their waits.
+	b.refuseLate(now, p.config.Budget(b.instance))
 	for b.waiting.Len() > 0 && b.canGrant(now, p.config.Budget(b.instance)) {
 		entry, ok := b.waiting.Pop()
 		if !ok {
@@ -248,6 +288,6 @@
 		if !ok {
 			return
 		}
-		entry.Value.granted <- g
+		entry.Value.decided <- decision{grant: g}
 	}
 }
--- a/owner/scheduler.go
+++ b/owner/scheduler.go
@@ -123,8 +123,8 @@
 
 // capacity returns how fast the instance serves requests. The caller holds s.mu.
 func (s *scheduler) capacity() queue.Capacity {
-	limit := s.concurrency.Limit()
-	return queue.Capacity{Service: s.concurrency.MeanLatency(), Slots: limit, Free: max(0, limit-s.running)}
+	limit, mean := s.concurrency.Limit(), s.concurrency.MeanLatency()
+	return queue.Capacity{Service: mean, Work: mean, Slots: limit, Free: max(0, limit-s.running)}
 }
 
 // dispatch starts waiting requests while slots are free, and refuses those that cannot finish in time any more. The caller holds s.mu.
--- a/queue/entry.go
+++ b/queue/entry.go
@@ -13,10 +13,8 @@
 	Team   model.TeamName
 	Class  tree.Class
 	Weight float64
-	// Deadline is when the caller's time ends.
+	// Deadline is when the caller's time for the wait and for Capacity.Work ends.
 	Deadline time.Time
-	// Work is how long the request usually takes; if it is 0, it is taken to be Capacity.Service.
-	Work time.Duration
 	// MaxTeamWaiting bounds the requests of the team that wait at once in the class, if it is not 0.
 	MaxTeamWaiting int
 	Value          T
@@ -26,6 +24,8 @@
 type Capacity struct {
 	// Service is how long a request usually occupies a slot; it is 0 if unknown.
 	Service time.Duration
+	// Work is the time that a request needs between its start and its deadline; it is 0 if the deadlines are those of the start.
+	Work time.Duration
 	// Slots is the number of requests that may run at once, and Free how many more may run now.
 	Slots, Free int
 }
@@ -40,18 +40,9 @@
 // LatestStart returns the last instant at which the request can start in time.
 func (e Entry[T]) LatestStart(capacity Capacity) time.Time { return e.left(capacity).LatestStart() }
 
-// latestStart is LatestStart as far as it depends on the request alone; requests of a team are ordered by it.
-func (e Entry[T]) latestStart() time.Time {
-	return wait.Request{Deadline: e.Deadline, Work: e.Work}.LatestStart()
-}
-
 // left returns what the request has left.
 func (e Entry[T]) left(capacity Capacity) wait.Request {
-	work := e.Work
-	if work == 0 {
-		work = capacity.Service
-	}
-	return wait.Request{Deadline: e.Deadline, Work: work}
+	return wait.Request{Deadline: e.Deadline, Work: capacity.Work}
 }
 
 // waitFor returns how long a request waits whose turn comes after that many others.
--- a/queue/flow.go
+++ b/queue/flow.go
@@ -46,9 +46,8 @@
 
 // insert adds an entry behind those that have to start no later.
 func (f *flow[T]) insert(entry Entry[T]) {
-	latest := entry.latestStart()
 	at := f.entries.Back()
-	for at != nil && at.Value.(Entry[T]).latestStart().After(latest) {
+	for at != nil && at.Value.(Entry[T]).Deadline.After(entry.Deadline) {
 		at = at.Prev()
 	}
 	if at == nil {
@@ -65,7 +64,7 @@
 		return 0
 	}
 	position := f.entries.Len()
-	for at := f.entries.Back(); at != nil && at.Value.(Entry[T]).latestStart().After(entry.latestStart()); at = at.Prev() {
+	for at := f.entries.Back(); at != nil && at.Value.(Entry[T]).Deadline.After(entry.Deadline); at = at.Prev() {
 		position--
 	}
 	return position
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -165,7 +165,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			q := New[model.TeamName]()
-			capacity := Capacity{Service: service, Slots: 1, Free: c.free}
+			capacity := Capacity{Service: service, Work: service, Slots: 1, Free: c.free}
 			entry := entryOf("A", c.own, 1)
 			entry.Deadline = start.Add(c.timeout)
 			for range c.count {
@@ -190,7 +190,7 @@
 // TestWaitingRequestIsRefusedWhenOthersGoFirst guards against a decision that is made on arrival only.
 func TestWaitingRequestIsRefusedWhenOthersGoFirst(t *testing.T) {
 	q := New[model.TeamName]()
-	capacity := Capacity{Service: 100 * time.Millisecond, Slots: 1}
+	capacity := Capacity{Service: 100 * time.Millisecond, Work: 100 * time.Millisecond, Slots: 1}
 	browsing := entryOf("A", tree.ClassBrowsing, 1)
 	browsing.Deadline = start.Add(time.Second)
 	require.NoError(t, q.Push(start, capacity, browsing))
--- a/remote/conn.go
+++ b/remote/conn.go
@@ -146,7 +146,7 @@
 	case FailureLeaving:
 		return errors.Mark(errors.Mark(errors.Wrap(errLeaving, a.Detail), conns.ErrBusy), model.ErrNotSent)
 	case FailureBusy, FailureUnknown:
-		return errors.Mark(errors.Wrap(conns.ErrBusy, a.Detail), model.ErrNotSent)
+		return errors.Mark(errors.Wrap(&conns.BusyError{RetryAfter: a.RetryAfter}, a.Detail), model.ErrNotSent)
 	case FailureLease:
 		return errors.Mark(errors.Wrap(ErrLease, "reported by the owner of the connection"), model.ErrNotSent)
 	case FailureRefused:
--- a/remote/message.go
+++ b/remote/message.go
@@ -34,8 +34,10 @@
 		// Fault is the refusal of the instance if Failure is FailureRefused; Detail describes any failure.
 		Fault  model.Fault
 		Detail string
-		Reply  model.Reply
-		State  model.InstanceState
+		// RetryAfter is the time after which a connection is expected, if Failure is FailureBusy; it is 0 if unknown.
+		RetryAfter time.Duration
+		Reply      model.Reply
+		State      model.InstanceState
 	}
 
 	// Failure is the reason why there is no answer of the instance; it is empty if there is one.
--- a/remote/server.go
+++ b/remote/server.go
@@ -158,7 +158,7 @@
 	refused, ok := model.Refused(err)
 	switch {
 	case errors.Is(err, conns.ErrBusy):
-		return Answer{Failure: FailureBusy, Detail: err.Error()}
+		return Answer{Failure: FailureBusy, Detail: err.Error(), RetryAfter: conns.RetryAfter(err)}
 	case ok:
 		return Answer{Failure: FailureRefused, Fault: refused.Fault, Detail: refused.Detail}
 	default:
--- a/serve/await.go
+++ b/serve/await.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/place"
 	"github.com/crocusshore/crocusshore/policy"
@@ -166,5 +167,5 @@
 	if errors.Is(err, errRecentlyFailed) {
 		return place.AttemptInterval
 	}
-	return 0
+	return conns.RetryAfter(err)
 }
