Statements are sent to a full instance when a slot is expected, and wait for it as their time allows

Cause: nothing remembered that an instance was full; each statement polled by itself, with a count and a pause that follow from nothing.

Now the pool that holds the connections spaces the statements to a full instance by the time after which a slot comes free (pace), longer while other VMs take the slots, and lets the others wait in the queue, those with the least time left first. Ranking puts a full instance behind a free one until its slots have come free. Writes, reads and transactions are tried as long as a slot is expected in their time.

--- a/conns/bucket.go
+++ b/conns/bucket.go
@@ -6,24 +6,37 @@
 	"github.com/crocusshore/crocusshore/queue"
 )
 
-// holdSmoothing is the weight of one sample in the moving average of the time for which connections are held.
-const holdSmoothing = 0.1
+// smoothing is the weight of one sample in a moving average.
+const smoothing = 0.1
+
+// recordMean adds a sample to a moving average, which is 0 before the first one.
+func recordMean(mean *time.Duration, sample time.Duration) {
+	if *mean == 0 {
+		*mean = sample
+	}
+	*mean += time.Duration(smoothing * float64(sample-*mean))
+}
 
 // recordHold records for how long a connection was held, unless it was for a status request.
 func (b *bucket) recordHold(now time.Time, c *Conn) {
 	if c.takenAt.IsZero() {
 		return
 	}
-	held := now.Sub(c.takenAt)
-	if b.usualHold == 0 {
-		b.usualHold = held
-	}
-	b.usualHold += time.Duration(holdSmoothing * float64(held-b.usualHold))
+	recordMean(&b.usualHold, now.Sub(c.takenAt))
 }
 
-// capacity returns how fast waiting requests get connections.
+// capacity returns how fast waiting requests get connections and may send on them.
 func (b *bucket) capacity(budget int) queue.Capacity {
-	return queue.Capacity{Service: b.usualHold, Slots: budget}
+	perConnection := b.usualHold / time.Duration(max(1, budget))
+	return queue.Capacity{Service: max(perConnection, b.pace.interval), Slots: 1}
+}
+
+// admits reports whether a new request may be served before the waiting ones, if there is a connection for it.
+func (b *bucket) admits(now time.Time, request Request) bool {
+	if request.AnyTeam || b.pace.interval == 0 {
+		return true
+	}
+	return b.waiting.Len() == 0 && b.pace.allows(now)
 }
 
 // refuseLate ends the waits of the requests that get no connection in time any more.
@@ -48,6 +61,7 @@
 		}
 		c := b.remove(at)
 		if c.instanceConn.Idle() {
+			b.pace.granted(now)
 			return grant{conn: c}, true
 		}
 		c.instanceConn.Close()
@@ -55,12 +69,14 @@
 	}
 	if b.open < budget && !now.Before(b.pausedUntil) {
 		b.open++
+		b.pace.granted(now)
 		return grant{}, true
 	}
 	// Even while an instance takes no more connections, a new connection can replace an idle one.
 	if len(b.idle) == 0 {
 		return grant{}, false
 	}
+	b.pace.granted(now)
 	return grant{evict: b.remove(b.leastRecentlyUsed())}, true
 }
 
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -30,6 +30,8 @@
 	// takenAt is when a statement or transaction of a caller took the connection, and usedAt when it was last returned.
 	takenAt, usedAt time.Time
 	broken          bool
+	// onAnswer, if set, is called with each answer of the instance; work is set for a statement that reads or writes.
+	onAnswer func(now time.Time, instance model.InstanceName, work bool, reply model.Reply)
 }
 
 // taken records that a request took the connection.
@@ -94,7 +96,11 @@
 		c.broken = true
 	}
 	reply := replies[len(setup)]
-	reply.Took = clock.Now().Sub(sentAt)
+	now := clock.Now()
+	reply.Took = now.Sub(sentAt)
+	if c.onAnswer != nil {
+		c.onAnswer(now, c.Instance.Name, q.Work, reply)
+	}
 	return reply, nil
 }
 
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -73,6 +73,8 @@
 	err   error
 	// deadline is that of the last connection.
 	deadline time.Time
+	// answer is that of the connections.
+	answer func(q model.Query) (model.Reply, error)
 }
 
 func (d *fakeDialer) Dial(deadline time.Time, _ model.Instance, team model.TeamName) (model.InstanceConn, error) {
@@ -82,7 +84,7 @@
 	if d.err != nil {
 		return nil, d.err
 	}
-	conn := &fakeInstanceConn{}
+	conn := &fakeInstanceConn{answer: d.answer}
 	d.conns = append(d.conns, conn)
 	d.teams = append(d.teams, team)
 	return conn, nil
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -60,6 +60,11 @@
 		pausedUntil time.Time
 		// usualHold is the moving average of the time for which statements and transactions hold a connection; it is 0 if unknown.
 		usualHold time.Duration
+		// usualWork is the moving average of the time that the instance takes for a statement; it is 0 if unknown.
+		usualWork time.Duration
+		pace      pace
+		// wakesUp is set while a timer will grant what the pace allows by then.
+		wakesUp bool
 	}
 
 	// grant is what a request gets: a connection, or the permission to open one after closing evict if that is set.
@@ -91,17 +96,18 @@
 func (p *Pool) Get(now time.Time, request Request) (*Conn, error) {
 	p.mu.Lock()
 	b := p.bucket(request.Instance)
-	g, ok := b.take(now, request, p.config.Budget(request.Instance))
-	if ok {
-		p.mu.Unlock()
-		return p.fulfil(request, g)
+	if b.admits(now, request) {
+		if g, ok := b.take(now, request, p.config.Budget(request.Instance)); ok {
+			p.mu.Unlock()
+			return p.fulfil(request, g)
+		}
 	}
 	w := &waiter{request: request, decided: make(chan decision, 1)}
 	err := b.waiting.Push(now, b.capacity(p.config.Budget(request.Instance)), queue.Entry[*waiter]{
 		Team: request.Team, Class: request.Class, Weight: 1, Deadline: request.Deadline, Value: w,
 	})
 	if err == nil {
-		b.refuseLate(now, p.config.Budget(request.Instance))
+		p.grantWaiting(now, b)
 	}
 	p.mu.Unlock()
 	if err != nil {
@@ -180,7 +186,7 @@
 	if err == nil {
 		c := &Conn{
 			Instance: request.Instance, Team: request.Team, instanceConn: conn, formatter: p.config.Formatter,
-			prepared: map[model.Prepared]string{},
+			prepared: map[model.Prepared]string{}, onAnswer: p.recordAnswer,
 		}
 		c.taken(now, request)
 		return c, nil
@@ -276,18 +282,51 @@
 	return b
 }
 
-// grantWaiting grants what is available to the waiting requests; the caller holds the lock.
+// grantWaiting grants what is available to the waiting requests and ends the waits of those that come too late; the caller holds the lock.
 func (p *Pool) grantWaiting(now time.Time, b *bucket) {
-	b.refuseLate(now, p.config.Budget(b.instance))
-	for b.waiting.Len() > 0 && b.canGrant(now, p.config.Budget(b.instance)) {
+	budget := p.config.Budget(b.instance)
+	b.refuseLate(now, budget)
+	for b.waiting.Len() > 0 && b.pace.allows(now) && b.canGrant(now, budget) {
 		entry, ok := b.waiting.Pop()
 		if !ok {
 			return
 		}
-		g, ok := b.take(now, entry.Value.request, p.config.Budget(b.instance))
+		g, ok := b.take(now, entry.Value.request, budget)
 		if !ok {
 			return
 		}
 		entry.Value.decided <- decision{grant: g}
 	}
+	p.wakeUp(now, b)
+}
+
+// wakeUp sees to it that the waiting requests are granted what the pace allows later; the caller holds the lock.
+func (p *Pool) wakeUp(now time.Time, b *bucket) {
+	if b.wakesUp || b.waiting.Len() == 0 || b.pace.allows(now) {
+		return
+	}
+	b.wakesUp = true
+	time.AfterFunc(b.pace.notBefore.Sub(now), func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		b.wakesUp = false
+		p.grantWaiting(clock.Now(), b)
+	})
+}
+
+// recordAnswer records what the answer of an instance to a statement shows of its slots.
+func (p *Pool) recordAnswer(now time.Time, instance model.InstanceName, work bool, reply model.Reply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.buckets[instance]
+	if b == nil {
+		return
+	}
+	switch {
+	case reply.Fault == model.FaultBusy:
+		b.pace.full(now, b.usualWork, b.instance.Slots)
+	case reply.Fault == "" && work:
+		recordMean(&b.usualWork, reply.Took)
+		b.pace.served(now)
+	}
 }
--- a/place/choose.go
+++ b/place/choose.go
@@ -17,6 +17,8 @@
 	loadWeight = 1.0
 	// warmUpFactor multiplies the slowness of an instance while it warms up.
 	warmUpFactor = 1.6
+	// fullPenalty is the cost of an instance without a free slot: the statement waits for about as long as another one takes.
+	fullPenalty = 1
 	// failedPenalty ranks instances that failed recently behind all others.
 	failedPenalty = 100
 )
@@ -34,6 +36,8 @@
 		InFlight, Waiting int
 		// Failed reports that the instance failed recently and has not answered since.
 		Failed bool
+		// Full reports that the instance had no slot for a statement just before.
+		Full bool
 	}
 
 	// Requirement is what a read requires of an instance and its log.
@@ -65,6 +69,9 @@
 	if c.Primary {
 		total += primaryPenalty
 	}
+	if c.Full {
+		total += fullPenalty
+	}
 	if c.Failed {
 		total += failedPenalty
 	}
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -34,6 +34,7 @@
 		},
 		{"slow instance is avoided", []Candidate{candidate("slow", func(c *Candidate) { c.Slowness = 5 }), candidate("far", func(c *Candidate) { c.Local = false })}, "far"},
 		{"primary before a slow replica", []Candidate{candidate("slow", func(c *Candidate) { c.Slowness = 5 }), candidate("primary", func(c *Candidate) { c.Primary = true })}, "primary"},
+		{"full instance after a free far one", []Candidate{candidate("full", func(c *Candidate) { c.Full = true }), candidate("far", func(c *Candidate) { c.Local = false })}, "far"},
 		{"failed instance last", []Candidate{candidate("failed", func(c *Candidate) { c.Failed = true }), candidate("slow", func(c *Candidate) { c.Slowness = 9 })}, "slow"},
 	} {
 		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, Rank(c.candidates)[0].Instance.Name) })
@@ -78,6 +79,17 @@
 	require.Zero(t, tracker.Health(now, "slow").Failures)
 }
 
+func TestFullInstanceIsFullUntilItsSlotsComeFree(t *testing.T) {
+	const work = 20 * time.Millisecond
+	tracker := NewTracker()
+	now := time.Unix(100, 0)
+	tracker.RecordAnswer(now, Latency{Route: "r", Took: 5 * work, Work: work}, "i")
+	require.Equal(t, work, tracker.UsualWork("r"), "without the wait for a connection")
+	tracker.RecordFull(now, "r", "i")
+	require.True(t, tracker.Assess(now.Add(work-1), candidate("i", nil)).Full)
+	require.False(t, tracker.Assess(now.Add(work), candidate("i", nil)).Full)
+}
+
 // TestFailingInstanceGetsOneAttemptPerInterval guards against waits for an unreachable instance: each statement for it waited for its
 // own time-out and held a connection meanwhile.
 func TestFailingInstanceGetsOneAttemptPerInterval(t *testing.T) {
--- a/place/tracker.go
+++ b/place/tracker.go
@@ -46,6 +46,8 @@
 		// reported is what another VM observed at reportedAt.
 		reported   Condition
 		reportedAt time.Time
+		// fullUntil is until when all slots of the instance are expected to be in use.
+		fullUntil time.Time
 	}
 
 	// Latency is how long a statement of a route took.
@@ -120,6 +122,14 @@
 	t.stats(instance).recordAlive(now)
 }
 
+// RecordFull records that an instance had no slot for a statement of a route. Each of its slots comes free in the time that such a statement
+// usually takes.
+func (t *Tracker) RecordFull(now time.Time, route model.RouteName, instance model.InstanceName) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats(instance).fullUntil = now.Add(time.Duration(t.usualWork[route] * float64(time.Second)))
+}
+
 // RecordFailure records that an instance could not be reached or did not answer.
 func (t *Tracker) RecordFailure(now time.Time, instance model.InstanceName) {
 	t.mu.Lock()
@@ -153,7 +163,7 @@
 	return Health{AnsweredAt: s.answeredAt, FailingSince: s.failingSince, Failures: s.failures, ReportedFailing: s.isReportedFailing(now)}
 }
 
-// Assess returns the candidate with Slowness and Failed set from what this VM observed and what others reported.
+// Assess returns the candidate with Slowness, Failed and Full set from what this VM observed and what others reported.
 func (t *Tracker) Assess(now time.Time, c Candidate) Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -167,6 +177,7 @@
 		c.Slowness = max(c.Slowness, s.reported.Slowness)
 	}
 	c.Failed = c.Failed || s.isReportedFailing(now)
+	c.Full = now.Before(s.fullUntil)
 	return c
 }
 
--- a/serve/await.go
+++ b/serve/await.go
@@ -18,6 +18,8 @@
 const (
 	// leasePollInterval is the interval at which a statement that waits for an instance looks for one.
 	leasePollInterval = 8 * time.Millisecond
+	// minSlotPause is the shortest pause before a statement is tried again at an instance that had no slot.
+	minSlotPause = time.Millisecond
 
 	// stageNone is the stage of an outage in which no VM has announced that it replaces the primary.
 	stageNone wait.Stage = "None"
@@ -169,3 +171,12 @@
 	}
 	return conns.RetryAfter(err)
 }
+
+// slotRetryAfter returns the time after which an instance that has just refused a statement is expected to have a slot, if it had none, and
+// otherwise 0. The VM that owns the connection sends the statement once a slot is expected.
+func (c *callerSession) slotRetryAfter(op operation, to target, fault model.Fault) time.Duration {
+	if fault != model.FaultBusy {
+		return 0
+	}
+	return max(c.server.config.Tracker.UsualWork(op.route.Name)/time.Duration(max(1, to.instance.Slots)), minSlotPause)
+}
--- a/serve/read.go
+++ b/serve/read.go
@@ -99,7 +99,7 @@
 		return attempt{err: err, sent: !errors.Is(err, model.ErrNotSent), retryAfter: c.retryAfter(err)}
 	}
 	c.recordAnswer(sentAt, op, to, true, reply)
-	return attempt{reply: reply, sent: true}
+	return attempt{reply: reply, sent: true, retryAfter: c.slotRetryAfter(op, to, reply.Fault)}
 }
 
 func (c *callerSession) attemptDeadline(now, deadline time.Time) time.Time {
@@ -124,6 +124,9 @@
 	} else {
 		s.config.Tracker.RecordAlive(now, instance)
 	}
+	if reply.Fault == model.FaultBusy {
+		s.config.Tracker.RecordFull(now, info.route, instance)
+	}
 }
 
 // recordAnswer records an answer of an instance; measured is false for a commit, whose latency is no measure of the instance's speed.
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -149,7 +149,7 @@
 			c.server.trackFailure(to.instance.Name, err)
 		}
 		c.server.config.Source.Put(clock.Now(), conn)
-		return attempt{reply: reply, err: err}
+		return attempt{reply: reply, err: err, retryAfter: c.slotRetryAfter(op, to, reply.Fault)}
 	}
 	c.tx.conn = conn
 	return attempt{reply: reply}
--- a/serve/write.go
+++ b/serve/write.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return c.refuseNotSent(op, err)
 	}
-	return reply, 0
+	return reply, c.slotRetryAfter(op, to, reply.Fault)
 }
 
 // refuseNotSent returns the refusal of a write of which the primary received nothing because of err, and the time after which it may.
