A write to a primary that is known to fail is refused at once if its replacement takes longer

Now that is an outage of its own stage, with the durations of earlier ones; attempts go on every 200 ms, so that its return is noticed.

Before: TestWriteIsRefusedAtOnceIfItsPrimaryFailsForLonger failed without the stage (the code had none; the write was tried again every 200 ms until its deadline).

--- a/serve/await.go
+++ b/serve/await.go
@@ -23,6 +23,8 @@
 
 	// stageNone is the stage of an outage in which no VM has announced that it replaces the primary.
 	stageNone wait.Stage = "None"
+	// stageFailing is the stage in which this VM may use the primary, which does not answer.
+	stageFailing wait.Stage = "Failing"
 	// stagePlanned and stageFailover follow the announcement; in stagePlanned the primary still answers.
 	stagePlanned  wait.Stage = "Planned"
 	stageFailover wait.Stage = "Failover"
@@ -36,6 +38,8 @@
 	// database names the route, unless primary is set.
 	database string
 	primary  bool
+	// answering is set for a primary that may be used and has to answer.
+	answering bool
 }
 
 // supplyOf returns what an operation needs. All routes of a group need the same primary.
@@ -129,6 +133,9 @@
 		return
 	}
 	for _, need := range s.outages.Open() {
+		if need.answering && s.primaryFails(now, need.group) {
+			continue
+		}
 		route, known := p.Routes[need.database]
 		if need.primary {
 			route, known = policy.Route{Group: need.group}, true
@@ -139,13 +146,16 @@
 	}
 }
 
+// primaryFails reports whether the primary of a group has failed since its last answer.
+func (s *Server) primaryFails(now time.Time, group model.GroupName) bool {
+	return s.config.Tracker.Health(now, s.config.Cache.Snapshot().Primaries[group].Primary).Failures > 0
+}
+
 // pause waits before a statement that did not run is tried again, for the time after which that may succeed; 0 is an unknown time. It
 // reports whether the operation still has time then.
 func (c *callerSession) pause(op operation, after time.Duration) bool {
 	now := clock.Now()
-	if after == 0 {
-		after = c.unknownPause(now, op)
-	}
+	after = op.retryAfter(now, after)
 	if !wait.Decide(now, wait.At(now.Add(after)), c.left(op)).Wait {
 		return false
 	}
@@ -153,9 +163,12 @@
 	return true
 }
 
-// unknownPause returns the pause before the next attempt if nothing is known of its success: as long again as the operation has tried.
-func (c *callerSession) unknownPause(now time.Time, op operation) time.Duration {
-	return max(now.Sub(op.startedAt), leasePollInterval)
+// retryAfter returns the time after which the operation may succeed, if it is known, and otherwise as long again as the operation has tried.
+func (o operation) retryAfter(now time.Time, known time.Duration) time.Duration {
+	if known > 0 {
+		return known
+	}
+	return max(now.Sub(o.startedAt), leasePollInterval)
 }
 
 // refuse returns a refusal whose caller may return after a time; the returns of callers are spread.
@@ -164,12 +177,21 @@
 	return model.Reply{Fault: fault, Detail: s.config.RetryDetail(reason, after), RetryAfter: after}
 }
 
-// retryAfter returns the time after which an instance may take a statement that it did not take because of err; it is 0 if unknown.
-func (c *callerSession) retryAfter(err error) time.Duration {
-	if errors.Is(err, errRecentlyFailed) {
+// retryAfter returns the time after which an instance may take a statement that it did not take because of err; it is 0 if unknown. A primary that
+// fails is expected to answer or to be replaced as others were before.
+func (c *callerSession) retryAfter(op operation, to target, err error) time.Duration {
+	if !errors.Is(err, errRecentlyFailed) {
+		return conns.RetryAfter(err)
+	}
+	if !to.primary {
 		return place.AttemptInterval
 	}
-	return conns.RetryAfter(err)
+	now := clock.Now()
+	forecast := c.server.outages.Missing(now, supply{group: op.route.Group, primary: true, answering: true}, stageFailing)
+	if decision := wait.Decide(now, forecast, c.left(op)); !decision.Wait {
+		return decision.RetryAfter
+	}
+	return place.AttemptInterval
 }
 
 // slotRetryAfter returns the time after which an instance that has just refused a statement is expected to have a slot, if it had none, and
--- a/serve/await_test.go
+++ b/serve/await_test.go
@@ -59,3 +59,30 @@
 	require.Equal(t, model.FaultBusy, c.admitOperation(start, true).refusal.Fault)
 	require.Less(t, clock.Now().Sub(start), timeout/2)
 }
+
+// TestWriteIsRefusedAtOnceIfItsPrimaryFailsForLonger guards against callers that are held while a primary does not answer that is known to fail,
+// and whose replacement is known to take longer than they have.
+func TestWriteIsRefusedAtOnceIfItsPrimaryFailsForLonger(t *testing.T) {
+	const failover, timeout = 4 * time.Second, 800 * time.Millisecond
+	c, cache := newSessionWithoutLease(&countingLimiter{}, timeout)
+	recordPrimary(t, cache)
+	start := clock.Now()
+	failing := supply{group: "g", primary: true, answering: true}
+	c.server.outages.Missing(start, failing, stageFailing)
+	c.server.outages.Available(start.Add(failover), failing)
+	for range 2 {
+		c.server.config.Tracker.RecordFailure(start, "p")
+	}
+	require.True(t, c.server.config.Tracker.TakeAttempt(start, "p"))
+	op := c.admitOperation(start, true)
+	require.Empty(t, op.refusal.Fault)
+	reply := c.write(op, statement{write: true})
+	require.Equal(t, model.FaultBusy, reply.Fault)
+	require.Less(t, clock.Now().Sub(start), 2*leasePollInterval)
+	require.GreaterOrEqual(t, reply.RetryAfter, failover-2*leasePollInterval)
+	c.server.observeOutages(clock.Now())
+	require.Contains(t, c.server.outages.Open(), failing)
+	c.server.config.Tracker.RecordAlive(clock.Now(), "p")
+	c.server.observeOutages(clock.Now())
+	require.Empty(t, c.server.outages.Open())
+}
--- a/serve/read.go
+++ b/serve/read.go
@@ -71,10 +71,7 @@
 // unservedReply returns the reply to a read that no instance served; one may after retryAfter, which is 0 if unknown.
 func (c *callerSession) unservedReply(op operation, step sess.Step, last attempt, retryAfter time.Duration) model.Reply {
 	if !last.sent {
-		if retryAfter == 0 {
-			retryAfter = c.unknownPause(clock.Now(), op)
-		}
-		return c.server.refuse(model.FaultBusy, "no instance can take the statement", retryAfter)
+		return c.server.refuse(model.FaultBusy, "no instance can take the statement", op.retryAfter(clock.Now(), retryAfter))
 	}
 	if last.err == nil {
 		return sess.CallerReply(step, last.reply, true)
@@ -86,7 +83,7 @@
 	conn, err := c.getConnection(now, op, to, c.attemptDeadline(now, c.left(op).LatestStart()))
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
-		return attempt{err: err, retryAfter: c.retryAfter(err)}
+		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
 	}
 	defer func() { c.server.config.Source.Put(clock.Now(), conn) }()
 	sentAt := clock.Now()
@@ -96,7 +93,7 @@
 	reply, err := c.send(conn, c.attemptDeadline(sentAt, c.deadline(op)), s, to.since)
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
-		return attempt{err: err, sent: !errors.Is(err, model.ErrNotSent), retryAfter: c.retryAfter(err)}
+		return attempt{err: err, sent: !errors.Is(err, model.ErrNotSent), retryAfter: c.retryAfter(op, to, err)}
 	}
 	c.recordAnswer(sentAt, op, to, true, reply)
 	return attempt{reply: reply, sent: true, retryAfter: c.slotRetryAfter(op, to, reply.Fault)}
--- a/serve/session.go
+++ b/serve/session.go
@@ -240,7 +240,7 @@
 	switch reply.Fault {
 	case model.FaultBusy, model.FaultLagging, model.FaultReadOnly:
 		if reply.RetryAfter == 0 {
-			return c.server.refuse(reply.Fault, "refused by the instance "+reply.Detail, c.unknownPause(clock.Now(), op))
+			return c.server.refuse(reply.Fault, "refused by the instance "+reply.Detail, op.retryAfter(clock.Now(), 0))
 		}
 	}
 	return reply
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -97,7 +97,7 @@
 		}
 		if !found {
 			if !c.pause(op, round.retryAfter) {
-				return c.server.refuse(model.FaultBusy, "no instance can open the transaction", c.unknownPause(clock.Now(), op)), false
+				return c.server.refuse(model.FaultBusy, "no instance can open the transaction", op.retryAfter(clock.Now(), round.retryAfter)), false
 			}
 			round = newRound()
 			continue
@@ -131,7 +131,7 @@
 	conn, err := c.getConnection(now, op, to, until)
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
-		return attempt{err: err, retryAfter: c.retryAfter(err)}
+		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
 	}
 	sentAt := clock.Now()
 	if to.primary && !c.server.config.Cache.LeaseValid(sentAt, to.lease) {
--- a/serve/write.go
+++ b/serve/write.go
@@ -39,24 +39,24 @@
 	conn, err := c.getConnection(now, op, to, c.left(op).LatestStart())
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
-		return c.refuseNotSent(op, err)
+		return c.refuseNotSent(op, to, err)
 	}
 	defer func() { c.server.config.Source.Put(clock.Now(), conn) }()
 	reply, err = c.sendPossibleCommit(conn, op, s, to, step, c.deadline(op))
 	if err != nil {
-		return c.refuseNotSent(op, err)
+		return c.refuseNotSent(op, to, err)
 	}
 	return reply, c.slotRetryAfter(op, to, reply.Fault)
 }
 
 // refuseNotSent returns the refusal of a write of which the primary received nothing because of err, and the time after which it may.
-func (c *callerSession) refuseNotSent(op operation, err error) (refusal model.Reply, retryAfter time.Duration) {
+func (c *callerSession) refuseNotSent(op operation, to target, err error) (refusal model.Reply, retryAfter time.Duration) {
 	reason := "the primary takes no connection"
 	if errors.IsAny(err, errLease, remote.ErrLease) {
 		reason = "the primary is being replaced"
 	}
-	retryAfter = c.retryAfter(err)
-	return c.server.refuse(model.FaultBusy, reason, max(retryAfter, c.unknownPause(clock.Now(), op))), retryAfter
+	retryAfter = op.retryAfter(clock.Now(), c.retryAfter(op, to, err))
+	return c.server.refuse(model.FaultBusy, reason, retryAfter), retryAfter
 }
 
 // sendPossibleCommit sends a statement that may commit; an error means that nothing was sent. Until it is settled what the statement
