Reads skip replicas that are known to lag, and are refused at once if all instances are known to fail

Sending a read to a replica that may have the position stays: it costs the caller a fraction of a millisecond, and the primary alone takes writes. If all instances of a round are known to fail, the forecast of their outage decides, as for primaries.

Test TestReplicaThatLagsIsAskedAgainAfterAsLongAgain (new methods, so it did not compile before).

--- a/place/choose.go
+++ b/place/choose.go
@@ -19,6 +19,8 @@
 	warmUpFactor = 1.6
 	// fullPenalty is the cost of an instance without a free slot: the statement waits for about as long as another one takes.
 	fullPenalty = 1
+	// laggingPenalty ranks replicas that are expected to lack the position of a read behind the primary, which lacks none.
+	laggingPenalty = 10
 	// failedPenalty ranks instances that failed recently behind all others.
 	failedPenalty = 100
 )
@@ -38,6 +40,9 @@
 		Failed bool
 		// Full reports that the instance had no slot for a statement just before.
 		Full bool
+		// Since is the log position that the read requires of a replica, and Lagging reports that the replica is expected to lack it.
+		Since   model.Mark
+		Lagging bool
 	}
 
 	// Requirement is what a read requires of an instance and its log.
@@ -72,6 +77,9 @@
 	if c.Full {
 		total += fullPenalty
 	}
+	if c.Lagging {
+		total += laggingPenalty
+	}
 	if c.Failed {
 		total += failedPenalty
 	}
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -90,6 +90,34 @@
 	require.False(t, tracker.Assess(now.Add(work), candidate("i", nil)).Full)
 }
 
+// TestReplicaThatLagsIsAskedAgainAfterAsLongAgain guards against reads that each ask a replica which is known to lack what they require.
+func TestReplicaThatLagsIsAskedAgainAfterAsLongAgain(t *testing.T) {
+	tracker := NewTracker()
+	start := time.Unix(100, 0)
+	after := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	mark := func(position int) model.Mark { return model.Mark{Term: 1, Position: model.Position(position)} }
+	lagging := func(ms, position int) bool {
+		return tracker.Assess(after(ms), candidate("r", func(c *Candidate) { c.Since = mark(position) })).Lagging
+	}
+	tracker.RecordLagging(after(0), "r", mark(20))
+	require.False(t, lagging(1, 20), "it may have caught up")
+	tracker.RecordLagging(after(40), "r", mark(25))
+	require.True(t, lagging(79, 20))
+	require.True(t, lagging(79, 99))
+	require.False(t, lagging(79, 19), "an earlier position may be there")
+	require.False(t, lagging(80, 20))
+	tracker.RecordLagging(after(5000), "r", mark(300))
+	require.False(t, lagging(5200, 300))
+	tracker.RecordMark("r", mark(19))
+	require.True(t, lagging(5199, 300))
+	tracker.RecordMark("r", mark(30))
+	require.False(t, lagging(5199, 300), "it has received the lowest position that it lacked")
+	require.Equal(t, model.InstanceName("p"), Rank([]Candidate{
+		candidate("r", func(c *Candidate) { c.Lagging = true }),
+		candidate("p", func(c *Candidate) { c.Primary, c.Local, c.InFlight = true, false, 6 }),
+	})[0].Instance.Name)
+}
+
 // TestFailingInstanceGetsOneAttemptPerInterval guards against waits for an unreachable instance: each statement for it waited for its
 // own time-out and held a connection meanwhile.
 func TestFailingInstanceGetsOneAttemptPerInterval(t *testing.T) {
--- a/place/tracker.go
+++ b/place/tracker.go
@@ -48,6 +48,10 @@
 		reportedAt time.Time
 		// fullUntil is until when all slots of the instance are expected to be in use.
 		fullUntil time.Time
+		// lacks is the lowest log position that the instance was found to lack since laggingSince; it was last found so at laggingAt. It is zero
+		// if the instance is not known to lack any.
+		lacks                   model.Mark
+		laggingSince, laggingAt time.Time
 	}
 
 	// Latency is how long a statement of a route took.
@@ -130,6 +134,29 @@
 	t.stats(instance).fullUntil = now.Add(time.Duration(t.usualWork[route] * float64(time.Second)))
 }
 
+// RecordLagging records that an instance lacks a log position; it then lacks all later ones.
+func (t *Tracker) RecordLagging(now time.Time, instance model.InstanceName, mark model.Mark) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.stats(instance)
+	if s.lacks == (model.Mark{}) {
+		s.lacks, s.laggingSince = mark, now
+	}
+	if mark.Before(s.lacks) {
+		s.lacks = mark
+	}
+	s.laggingAt = now
+}
+
+// RecordMark records that the log of an instance reaches a position.
+func (t *Tracker) RecordMark(instance model.InstanceName, mark model.Mark) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.stats(instance); !mark.Before(s.lacks) {
+		s.lacks = model.Mark{}
+	}
+}
+
 // RecordFailure records that an instance could not be reached or did not answer.
 func (t *Tracker) RecordFailure(now time.Time, instance model.InstanceName) {
 	t.mu.Lock()
@@ -163,7 +190,7 @@
 	return Health{AnsweredAt: s.answeredAt, FailingSince: s.failingSince, Failures: s.failures, ReportedFailing: s.isReportedFailing(now)}
 }
 
-// Assess returns the candidate with Slowness, Failed and Full set from what this VM observed and what others reported.
+// Assess returns the candidate with Slowness, Failed, Full and Lagging set from what this VM observed and what others reported.
 func (t *Tracker) Assess(now time.Time, c Candidate) Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -178,6 +205,7 @@
 	}
 	c.Failed = c.Failed || s.isReportedFailing(now)
 	c.Full = now.Before(s.fullUntil)
+	c.Lagging = s.isLagging(now, c.Since)
 	return c
 }
 
@@ -186,6 +214,15 @@
 	return s.reported.Failing && now.Sub(s.reportedAt) < conditionTTL && s.answeredAt.Before(s.reportedAt)
 }
 
+// isLagging reports whether the instance is expected to lack a log position. One that was found to lag is asked again after as long again as it has
+// lagged, and after AttemptInterval at the latest.
+func (s *instanceStats) isLagging(now time.Time, since model.Mark) bool {
+	if s.lacks == (model.Mark{}) || since.Before(s.lacks) {
+		return false
+	}
+	return now.Sub(s.laggingAt) < min(s.laggingAt.Sub(s.laggingSince), AttemptInterval)
+}
+
 func (t *Tracker) stats(instance model.InstanceName) *instanceStats {
 	s := t.instances[instance]
 	if s == nil {
--- a/serve/await.go
+++ b/serve/await.go
@@ -23,7 +23,7 @@
 
 	// stageNone is the stage of an outage in which no VM has announced that it replaces the primary.
 	stageNone wait.Stage = "None"
-	// stageFailing is the stage in which this VM may use the primary, which does not answer.
+	// stageFailing is the stage in which this VM may use instances that do not answer.
 	stageFailing wait.Stage = "Failing"
 	// stagePlanned and stageFailover follow the announcement; in stagePlanned the primary still answers.
 	stagePlanned  wait.Stage = "Planned"
@@ -38,7 +38,7 @@
 	// database names the route, unless primary is set.
 	database string
 	primary  bool
-	// answering is set for a primary that may be used and has to answer.
+	// answering is set for instances that may be used and have to answer.
 	answering bool
 }
 
@@ -133,22 +133,27 @@
 		return
 	}
 	for _, need := range s.outages.Open() {
-		if need.answering && s.primaryFails(now, need.group) {
-			continue
-		}
 		route, known := p.Routes[need.database]
 		if need.primary {
-			route, known = policy.Route{Group: need.group}, true
+			route, known = policy.Route{Group: need.group, Consistency: policy.ConsistencyPrimary}, true
 		}
-		if !known || s.hasInstance(now, route, need.primary) {
+		if !known || s.isSupplied(now, route, need) {
 			s.outages.Available(now, need)
 		}
 	}
 }
 
-// primaryFails reports whether the primary of a group has failed since its last answer.
-func (s *Server) primaryFails(now time.Time, group model.GroupName) bool {
-	return s.config.Tracker.Health(now, s.config.Cache.Snapshot().Primaries[group].Primary).Failures > 0
+// isSupplied reports whether what operations of a route need is there.
+func (s *Server) isSupplied(now time.Time, route policy.Route, need supply) bool {
+	if !need.answering {
+		return s.hasInstance(now, route, need.primary)
+	}
+	for _, to := range s.rankInstances(now, operation{route: route}, model.Mark{}) {
+		if s.config.Tracker.Health(now, to.instance.Name).Failures == 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // pause waits before a statement that did not run is tried again, for the time after which that may succeed; 0 is an unknown time. It
@@ -186,8 +191,15 @@
 	if !to.primary {
 		return place.AttemptInterval
 	}
-	now := clock.Now()
-	forecast := c.server.outages.Missing(now, supply{group: op.route.Group, primary: true, answering: true}, stageFailing)
+	return c.failingRetryAfter(op, true)
+}
+
+// failingRetryAfter returns the time after which instances that are known to fail may answer, the primary or all that may serve a read: the time
+// until the next attempt, unless they are expected to fail for longer than the operation has.
+func (c *callerSession) failingRetryAfter(op operation, primary bool) time.Duration {
+	now, need := clock.Now(), supplyOf(op, primary)
+	need.answering = true
+	forecast := c.server.outages.Missing(now, need, stageFailing)
 	if decision := wait.Decide(now, forecast, c.left(op)); !decision.Wait {
 		return decision.RetryAfter
 	}
--- a/serve/pick.go
+++ b/serve/pick.go
@@ -39,17 +39,17 @@
 			continue
 		}
 		used, waiting := s.config.Pool.InUse(instance.Name)
-		candidates = append(candidates, s.config.Tracker.Assess(now, place.Candidate{
+		candidate := place.Candidate{
 			Instance: instance, Primary: primary, Local: instance.Domain == s.config.Domain, InFlight: used, Waiting: waiting,
-		}))
+		}
+		if !primary {
+			candidate.Since = requirement.Since
+		}
+		candidates = append(candidates, s.config.Tracker.Assess(now, candidate))
 	}
 	targets := make([]target, 0, len(candidates))
 	for _, c := range place.Rank(candidates) {
-		t := target{instance: c.Instance, primary: c.Primary, lease: lease}
-		if !c.Primary {
-			t.since = requirement.Since
-		}
-		targets = append(targets, t)
+		targets = append(targets, target{instance: c.Instance, primary: c.Primary, since: c.Since, lease: lease})
 	}
 	return targets
 }
--- a/serve/read.go
+++ b/serve/read.go
@@ -37,7 +37,7 @@
 	for now := op.startedAt; now.Before(c.deadline(op)); now = clock.Now() {
 		to, ok := c.nextUntried(now, op, round.tried)
 		if !ok {
-			if !c.pause(op, round.retryAfter) {
+			if !c.pause(op, c.roundRetryAfter(op, round)) {
 				break
 			}
 			round = newRound()
@@ -53,7 +53,7 @@
 			return reply
 		}
 	}
-	reply := c.advise(op, c.unservedReply(op, step, last, round.retryAfter))
+	reply := c.advise(op, c.unservedReply(op, step, last, c.roundRetryAfter(op, round)))
 	c.report(op, s.command, lastInstance, reply, attempts)
 	return reply
 }
@@ -132,7 +132,18 @@
 	s.trackAnswer(sentAt, to.instance.Name, latencyInfo{route: op.route.Name, measured: measured, direct: c.lastConn != nil && c.lastConn.Owner() == ""}, reply)
 	if to.primary {
 		s.addSample(sentAt, op.route.Group, to.lease.Term, reply)
+		return
+	}
+	s.recordReplicaMark(sentAt, to, reply)
+}
+
+// recordReplicaMark records what the answer of a replica shows of its log.
+func (s *Server) recordReplicaMark(sentAt time.Time, to target, reply model.Reply) {
+	if reply.Fault == model.FaultLagging {
+		s.config.Tracker.RecordLagging(sentAt, to.instance.Name, to.since)
+		return
 	}
+	s.config.Tracker.RecordMark(to.instance.Name, reply.Mark)
 }
 
 // addSample adds a sample: the log position in an answer of the primary of a term to a statement that was sent at sentAt.
--- a/serve/round.go
+++ b/serve/round.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/crocusshore/crocusshore/model"
 )
 
@@ -11,14 +13,26 @@
 	tried map[model.InstanceName]bool
 	// retryAfter is the time after which the first of them may take the statement; it is 0 if unknown.
 	retryAfter time.Duration
+	// failing is set while each of them is known to fail.
+	failing bool
 }
 
-func newRound() *round { return &round{tried: map[model.InstanceName]bool{}} }
+func newRound() *round { return &round{tried: map[model.InstanceName]bool{}, failing: true} }
 
 // add records an attempt.
 func (r *round) add(instance model.InstanceName, a attempt) {
 	r.tried[instance] = true
+	r.failing = r.failing && errors.Is(a.err, errRecentlyFailed)
 	if a.retryAfter > 0 && (r.retryAfter == 0 || a.retryAfter < r.retryAfter) {
 		r.retryAfter = a.retryAfter
 	}
 }
+
+// roundRetryAfter returns the time after which one of the instances of a round may take the operation's statement; it is 0 if unknown. If all of
+// them are known to fail, they are expected to answer as they did after earlier failures.
+func (c *callerSession) roundRetryAfter(op operation, r *round) time.Duration {
+	if !r.failing || len(r.tried) == 0 {
+		return r.retryAfter
+	}
+	return c.failingRetryAfter(op, false)
+}
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -96,8 +96,9 @@
 			return refusal, false
 		}
 		if !found {
-			if !c.pause(op, round.retryAfter) {
-				return c.server.refuse(model.FaultBusy, "no instance can open the transaction", op.retryAfter(clock.Now(), round.retryAfter)), false
+			retryAfter := c.roundRetryAfter(op, round)
+			if !c.pause(op, retryAfter) {
+				return c.server.refuse(model.FaultBusy, "no instance can open the transaction", op.retryAfter(clock.Now(), retryAfter)), false
 			}
 			round = newRound()
 			continue
@@ -144,6 +145,9 @@
 		err = errors.New("the instance did not open the transaction")
 		conn.Break()
 	}
+	if err == nil && !to.primary {
+		c.server.recordReplicaMark(sentAt, to, reply)
+	}
 	if err != nil || reply.Fault != "" {
 		if err != nil {
 			c.server.trackFailure(to.instance.Name, err)
