A team gets its rate and burst; the tolerance serves only callers who would be refused wrongly

Teams over their rate were admitted more than their rate and burst: 0.7 of the slack, which is the tolerance with which the rule is judged, enlarged every bucket, needed or not.

So the slack now fills a failure domain's bucket up to 8 operations only, and the first bucket after a start holds no more than that.

--- a/share/limiter.go
+++ b/share/limiter.go
@@ -48,7 +48,7 @@
 		// Team returns the limits of a team, and whether it exists.
 		Team func(name model.TeamName) (policy.Team, bool)
 		// Slack is how many operations of a team beyond its rate and burst all VMs together may admit in a Window, and Excess is how much more
-		// as a share of its rate and burst. They enlarge the bursts of the failure domains and fill the first buckets after a start.
+		// as a share of its rate and burst. Small teams need the slack to be served in every failure domain, and all need some of both after a start.
 		Slack, Excess float64
 		Window        time.Duration
 	}
--- a/share/split.go
+++ b/share/split.go
@@ -24,9 +24,12 @@
 func Weight(domains int) float64 { return 1 / float64(max(1, domains)) }
 
 const (
-	// slackShare is the share of the slack that the bursts of the failure domains use.
-	slackShare = 0.7
-	// startSlackShare and startExcessShare are the shares of the slack and of the excess that the first buckets after a start hold. With the
+	// firstCallers is how many operations of a team a failure domain should be able to admit at once. Callers arrive at random, and with fewer
+	// tokens some are refused although the team stays well within its rate.
+	firstCallers = 8
+	// burstSlackShare is the share of the slack that the buckets of a team may use whose own burst gives a failure domain less than firstCallers.
+	burstSlackShare = 0.7
+	// startSlackShare and startExcessShare are the shares of the slack and of the excess that the first buckets after a start may use. With the
 	// bursts they leave half of the excess for a second start within a window.
 	startSlackShare  = 0.25
 	startExcessShare = 0.5
@@ -35,15 +38,17 @@
 )
 
 // BurstSize returns the burst of a failure domain whose share of a team's rate is domainRate. The bursts of all failure domains add up to
-// the team's burst and slackShare of the slack, but each is at least 1.
+// the team's burst, unless that leaves some with less than firstCallers: then they use the slack, up to burstSlackShare of it. Each is at least 1.
 func BurstSize(limits policy.Team, slack, domainRate, weight float64) float64 {
-	all := limits.Burst + slackShare*slack
-	return max(1, all*(evenBurstShare*weight+(1-evenBurstShare)*domainRate/max(limits.Rate, domainRate, 1e-9)))
+	rateShare := domainRate / max(limits.Rate, domainRate, 1e-9)
+	part := evenBurstShare*weight + (1-evenBurstShare)*rateShare
+	own := part * limits.Burst
+	return max(1, own, min(firstCallers, own+part*burstSlackShare*slack))
 }
 
 // StartTokens returns the tokens that a failure domain holds of a team when the VM that admits for it has just started. The whole burst may
-// have been admitted before, but the limit on a window allows some operations beyond the rate and the burst.
+// have been admitted before, so that they are at most firstCallers, within what the limit on a window allows beyond the rate and the burst.
 func StartTokens(limits policy.Team, c Config, weight float64) float64 {
 	usual := limits.Rate*c.Window.Seconds() + limits.Burst
-	return weight * (startSlackShare*c.Slack + startExcessShare*c.Excess*usual)
+	return min(firstCallers, weight*(startSlackShare*c.Slack+startExcessShare*c.Excess*usual))
 }
