An outage whose end nobody saw is no evidence for the length of the next one

Found by reading: a VM with few callers would have taken the time until its next statement for the length of the outage, and turned callers away at once in the next one.

Before: TestOutageWhoseEndNobodySawTeachesNothing could not pass: Available took the present time for the end.

--- a/serve/await.go
+++ b/serve/await.go
@@ -75,7 +75,7 @@
 	for {
 		now := clock.Now()
 		if find(now) {
-			s.outages.Available(now, need)
+			s.outages.Available(need)
 			return model.Reply{}, true
 		}
 		decision := wait.Decide(now, s.outages.Missing(now, need, s.stage(now, op.route.Group)), c.left(op))
@@ -137,8 +137,11 @@
 		if need.primary {
 			route, known = policy.Route{Group: need.group, Consistency: policy.ConsistencyPrimary}, true
 		}
-		if !known || s.isSupplied(now, route, need) {
-			s.outages.Available(now, need)
+		switch {
+		case !known || s.isSupplied(now, route, need):
+			s.outages.Available(need)
+		case !need.answering: // Whether an instance answers shows when something is sent to it.
+			s.outages.Missing(now, need, s.stage(now, need.group))
 		}
 	}
 }
--- a/serve/await_test.go
+++ b/serve/await_test.go
@@ -9,6 +9,7 @@
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/state"
+	"github.com/crocusshore/crocusshore/wait"
 )
 
 // recordPrimary registers the VM of a session and the primary of its group, which gives the VM a lease.
@@ -22,13 +23,20 @@
 	require.NoError(t, cache.ApplyRows(1, true, []model.StoredRow{registration, record}, clock.Now()))
 }
 
+// recordOutage records an outage that ended just now.
+func recordOutage(c *callerSession, need supply, stage wait.Stage, lasted time.Duration) {
+	now := clock.Now()
+	c.server.outages.Missing(now.Add(-lasted), need, stage)
+	c.server.outages.Missing(now, need, stage)
+	c.server.outages.Available(need)
+}
+
 // TestOperationWaitsForAPrimaryThatComesInTime guards against callers that are turned away although their own time allows to wait: the wait
 // was a fixed part of the latency objective.
 func TestOperationWaitsForAPrimaryThatComesInTime(t *testing.T) {
 	const replacement = 150 * time.Millisecond
 	c, cache := newSessionWithoutLease(&countingLimiter{}, 800*time.Millisecond)
-	c.server.outages.Missing(clock.Now(), supply{group: "g", primary: true}, stageNone)
-	c.server.outages.Available(clock.Now().Add(replacement), supply{group: "g", primary: true})
+	recordOutage(c, supply{group: "g", primary: true}, stageNone, replacement)
 	time.AfterFunc(replacement, func() { recordPrimary(t, cache) })
 	require.Empty(t, c.admitOperation(clock.Now(), true).refusal.Fault)
 }
@@ -39,8 +47,7 @@
 	const replacement, timeout = 3 * time.Second, 800 * time.Millisecond
 	c, _ := newSessionWithoutLease(&countingLimiter{}, timeout)
 	start := clock.Now()
-	c.server.outages.Missing(start, supply{group: "g", primary: true}, stageNone)
-	c.server.outages.Available(start.Add(replacement), supply{group: "g", primary: true})
+	recordOutage(c, supply{group: "g", primary: true}, stageNone, replacement)
 	op := c.admitOperation(start, true)
 	require.Equal(t, model.FaultBusy, op.refusal.Fault)
 	require.Less(t, clock.Now().Sub(start), 2*leasePollInterval)
@@ -68,8 +75,7 @@
 	recordPrimary(t, cache)
 	start := clock.Now()
 	failing := supply{group: "g", primary: true, answering: true}
-	c.server.outages.Missing(start, failing, stageFailing)
-	c.server.outages.Available(start.Add(failover), failing)
+	recordOutage(c, failing, stageFailing, failover)
 	for range 2 {
 		c.server.config.Tracker.RecordFailure(start, "p")
 	}
--- a/wait/outages.go
+++ b/wait/outages.go
@@ -16,11 +16,17 @@
 	// Outages forecasts how long things stay missing from how long they were missing before; it is safe for concurrent use.
 	Outages[K comparable] struct {
 		mu   sync.Mutex
-		open map[K][]stageStart
+		open map[K]*outage
 		// durations holds the latest durations from the beginning of a stage to the end of the outage, oldest first.
 		durations map[Stage][]time.Duration
 	}
 
+	// outage is a present outage with its stages so far; missingAt is when the thing was last found to be missing.
+	outage struct {
+		stages    []stageStart
+		missingAt time.Time
+	}
+
 	// stageStart is when a stage of an outage began.
 	stageStart struct {
 		stage Stage
@@ -30,32 +36,45 @@
 
 // NewOutages returns a record without outages.
 func NewOutages[K comparable]() *Outages[K] {
-	return &Outages[K]{open: map[K][]stageStart{}, durations: map[Stage][]time.Duration{}}
+	return &Outages[K]{open: map[K]*outage{}, durations: map[Stage][]time.Duration{}}
 }
 
 // Missing records that something is missing at now, in a stage of its outage, and returns when it is expected.
 func (o *Outages[K]) Missing(now time.Time, key K, stage Stage) Forecast {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	stages := o.open[key]
-	if len(stages) == 0 || stages[len(stages)-1].stage != stage {
-		stages = append(stages, stageStart{stage: stage, at: now})
-		o.open[key] = stages
+	current := o.open[key]
+	if current == nil {
+		current = &outage{}
+		o.open[key] = current
 	}
-	return forecast(now, stages[len(stages)-1].at, o.durations[stage])
+	current.missingAt = now
+	if n := len(current.stages); n == 0 || current.stages[n-1].stage != stage {
+		current.stages = append(current.stages, stageStart{stage: stage, at: now})
+	}
+	return forecast(now, current.stages[len(current.stages)-1].at, o.durations[stage])
 }
 
-// Available records that something is available at now, which ends its outage if there was one.
-func (o *Outages[K]) Available(now time.Time, key K) {
+// Available records that something is available, which ends its outage if there was one. The outage counts as ended when the thing was last found
+// to be missing: it may have been available, unnoticed, since then.
+func (o *Outages[K]) Available(key K) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, s := range o.open[key] {
-		o.durations[s.stage] = append(o.durations[s.stage], now.Sub(s.at))
+	current := o.open[key]
+	if current == nil {
+		return
+	}
+	delete(o.open, key)
+	for _, s := range current.stages {
+		lasted := current.missingAt.Sub(s.at)
+		if lasted == 0 {
+			continue // It was found to be missing once only.
+		}
+		o.durations[s.stage] = append(o.durations[s.stage], lasted)
 		if kept := o.durations[s.stage]; len(kept) > maxDurations {
 			o.durations[s.stage] = kept[1:]
 		}
 	}
-	delete(o.open, key)
 }
 
 // Open returns what is missing.
--- a/wait/outages_test.go
+++ b/wait/outages_test.go
@@ -23,7 +23,8 @@
 	at := time.Unix(1000, 0)
 	for _, lasted := range []time.Duration{2 * time.Second, 4 * time.Second} {
 		o.Missing(at, "g", failover)
-		o.Available(at.Add(lasted), "g")
+		o.Missing(at.Add(lasted), "g", failover)
+		o.Available("g")
 		at = at.Add(time.Minute)
 	}
 	after := func(d time.Duration) time.Time { return at.Add(d) }
@@ -47,10 +48,22 @@
 	start := time.Unix(1000, 0)
 	o.Missing(start, "g", failover)
 	o.Missing(start.Add(3*time.Second), "g", ordered)
-	o.Available(start.Add(3300*time.Millisecond), "g")
+	o.Missing(start.Add(3300*time.Millisecond), "g", ordered)
+	o.Available("g")
 	require.Empty(t, o.Open())
 	later := start.Add(time.Minute)
 	require.Equal(t, later.Add(3300*time.Millisecond), o.Missing(later, "g", failover).Expected)
 	require.Equal(t, later.Add(300*time.Millisecond), o.Missing(later, "h", ordered).Expected)
 	require.ElementsMatch(t, []string{"g", "h"}, o.Open())
 }
+
+// TestOutageWhoseEndNobodySawTeachesNothing guards against callers that are turned away for minutes since an earlier outage seemed to last until
+// the next request.
+func TestOutageWhoseEndNobodySawTeachesNothing(t *testing.T) {
+	o := NewOutages[string]()
+	start := time.Unix(1000, 0)
+	o.Missing(start, "g", failover)
+	o.Available("g") // A minute later.
+	later := start.Add(time.Hour)
+	require.Equal(t, At(later), o.Missing(later, "g", failover))
+}
