Requests over HTTP wait for a primary only while one may come in their time

Callers were held until their deadline while a group had no primary or the VM could not confirm one, and then told to return in 1 s whatever was known; reads and writes at instances that fail were tried again until the deadline.

Now entry uses wait.Outages as the daemon does, with the reason of the refusal as the stage. What is known not to come in time is refused at once with the expected time; an outage longer than all before it is expected to last as long again. The VM's own retry budget after an overload stays.

--- a/entry/interactive.go
+++ b/entry/interactive.go
@@ -18,6 +18,7 @@
 		}
 		response, vm, err := s.execute(ctx, c.route.Name, s.request(c, placement.Primary, placement.Term, model.ModeBegin))
 		if err == nil {
+			s.recordSupplied(c)
 			return s.sealer.SealTransaction(token.Transaction{
 				ID:       response.Transaction,
 				VM:       vm,
@@ -29,7 +30,7 @@
 				Key:      c.who.key,
 			})
 		}
-		if !s.takeRetry(err) || !s.waitBeforeRetry(ctx, c, attempt) {
+		if again, err := s.awaitRetry(ctx, c, attempt, err); !again {
 			return "", err
 		}
 	}
--- a/entry/read.go
+++ b/entry/read.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/crocusshore/crocusshore/check"
 	"github.com/crocusshore/crocusshore/model"
@@ -15,15 +14,14 @@
 // read runs a call without writes on the best instance that may serve it.
 func (s *Server) read(ctx context.Context, c *call) (reply, error) {
 	s.budget.earn()
-	var lastErr error
 	for attempt := 0; ; attempt++ {
 		result, err := s.readRound(ctx, c)
 		if err == nil {
+			s.recordSupplied(c)
 			return result, nil
 		}
-		lastErr = err
-		if !s.takeRetry(err) || !s.waitBeforeRetry(ctx, c, attempt) {
-			return reply{}, lastErr
+		if again, err := s.awaitRetry(ctx, c, attempt, err); !again {
+			return reply{}, err
 		}
 	}
 }
@@ -33,7 +31,7 @@
 	state := s.views.State()
 	group := state.Tree.Group(c.route.Group)
 	placement := state.Placements[c.route.Group]
-	var lastErr error = model.Refuse(model.ReasonNoInstance, "no instance of the group %s can serve this read now", c.route.Group).WithRetryAfter(time.Second)
+	var lastErr error = model.Refuse(model.ReasonNoInstance, "no instance of the group %s can serve this read now", c.route.Group)
 	if group == nil {
 		return reply{}, lastErr
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -25,6 +25,7 @@
 	"github.com/crocusshore/crocusshore/store"
 	"github.com/crocusshore/crocusshore/token"
 	"github.com/crocusshore/crocusshore/view"
+	"github.com/crocusshore/crocusshore/wait"
 )
 
 const (
@@ -59,6 +60,8 @@
 	prober       *prober
 	observations *observations
 	budget       *lockedBudget
+	// outages forecasts when instances that requests wait for are available again.
+	outages      *wait.Outages[supply]
 	burnRecorder *report.Recorder
 	violations   check.ViolationLog
 
@@ -96,6 +99,7 @@
 	s.prober = newProber(s)
 	s.observations = newObservations()
 	s.burnRecorder = report.NewRecorder()
+	s.outages = wait.NewOutages[supply]()
 	s.budget = &lockedBudget{budget: retry.NewBudget(retryBudgetShare, retryBudgetMax)}
 	return s, nil
 }
--- a/entry/write.go
+++ b/entry/write.go
@@ -30,37 +30,21 @@
 			made.recordSettled(err)
 		}
 		if err == nil {
+			s.recordSupplied(c)
 			return s.acknowledge(c, placement, response), nil
 		}
-		if !s.takeRetry(err) && !s.takeRepeat(c, err) || !s.waitBeforeRetry(ctx, c, attempt) {
-			return reply{}, made.refusal(err)
-		}
-	}
-}
-
-// awaitPrimary waits, up to the deadline, until the view is confirmed and names a primary of the group. It sends nothing.
-func (s *Server) awaitPrimary(ctx context.Context, c *call) (view.Placement, error) {
-	for {
-		now := s.now()
-		state := s.views.State()
-		placement := state.Placements[c.route.Group]
-		confirmed := s.views.ConfirmedWithin(now, state.FleetSettings().WriteBound)
-		if confirmed && placement.Primary != "" {
-			return placement, nil
+		if s.takeRepeat(c, err) {
+			if !s.waitBeforeRetry(ctx, c, attempt) {
+				return reply{}, made.refusal(err)
+			}
+			continue
 		}
-		if !now.Add(placementPollInterval).Before(c.deadline) || !retry.Sleep(ctx, placementPollInterval) {
-			return placement, s.errNoPrimary(confirmed, c.route.Group)
+		if again, err := s.awaitRetry(ctx, c, attempt, err); !again {
+			return reply{}, made.refusal(err)
 		}
 	}
 }
 
-func (s *Server) errNoPrimary(confirmed bool, group model.GroupName) error {
-	if !confirmed {
-		return model.Refuse(model.ReasonNotConfirmed, "this VM cannot confirm now which primary the group %s has", group).WithRetryAfter(time.Second)
-	}
-	return model.Refuse(model.ReasonNoPrimary, "the group %s has no primary now", group).WithRetryAfter(time.Second)
-}
-
 // settleOutcome decides the outcome that a caller gets after the answer to a write has arrived or was lost.
 //
 // An answer counts only while the view is confirmed and still names the term; otherwise the outcome is looked up until
@@ -136,6 +120,16 @@
 	return c.repeatable && hasOutcome(err, model.Unknown) && s.budget.spend()
 }
 
+// awaitRetry waits before a call that was refused without any effect is tried again. If that would not help in time, it returns the refusal with
+// the time after which the caller may return.
+func (s *Server) awaitRetry(ctx context.Context, c *call, attempt int, err error) (bool, error) {
+	if !s.takeRetry(err) {
+		return false, err
+	}
+	mayRecover, err := s.mayRecover(c, err)
+	return mayRecover && s.waitBeforeRetry(ctx, c, attempt), err
+}
+
 // waitBeforeRetry waits before a retry; it returns false if the deadline leaves no time for one or the context ends.
 func (s *Server) waitBeforeRetry(ctx context.Context, c *call, attempt int) bool {
 	wait := backoff.Delay(attempt, rand.Float64())
