A request is refused at once if its token comes after the time that it may wait

Callers were held for 250 ms, or until their deadline, although the holders of the rate limit had said that the next token comes later; and each was told the same time to return.

Now each round of requests to the holders decides again for every waiting request, from the time of the next token, the tokens of those before it, the longest wait and the caller's deadline. The time to return counts those before it and is spread.

--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/quota"
 	"github.com/crocusshore/crocusshore/tree"
+	"github.com/crocusshore/crocusshore/wait"
 )
 
 const (
@@ -30,7 +32,9 @@
 // waiter is a request that waits for a token; its channel receives nil or a refusal exactly once, unless the request leaves the queue.
 type waiter struct {
 	since time.Time
-	done  chan error
+	// deadline is when the caller's time ends; it is zero if that is not known.
+	deadline time.Time
+	done     chan error
 }
 
 // bucketLimiter spends the tokens of one bucket on one VM, whichever part they come from.
@@ -61,10 +65,12 @@
 		return nil
 	}
 	if b.exceedsMaxWait(now) {
+		retryAfter := b.tokenTime(len(b.waiting) + 1)
 		b.mu.Unlock()
-		return overRate(time.Duration(float64(time.Second) / limit.Rate))
+		return overRate(retryAfter)
 	}
 	w := &waiter{since: now, done: make(chan error, 1)}
+	w.deadline, _ = ctx.Deadline()
 	b.waiting = append(b.waiting, w)
 	b.startRequests(now)
 	b.mu.Unlock()
@@ -121,11 +127,12 @@
 	if wanted == 0 {
 		return 0, false
 	}
+	retryAfter = maxWaitUnavailable
 	for _, part := range parts {
 		grant, sentAt, err := b.requestPart(part, wanted)
 		if err != nil {
 			b.markUnavailable(part)
-			retryAfter = requestInterval
+			retryAfter = min(retryAfter, requestInterval)
 			continue
 		}
 		wanted -= grant.Tokens
@@ -133,9 +140,12 @@
 		if wanted <= 0 {
 			return 0, true
 		}
-		retryAfter = max(grant.RetryAfter, time.Millisecond)
+		retryAfter = min(retryAfter, max(grant.RetryAfter, time.Millisecond))
 	}
-	b.refuseExpired(retryAfter)
+	if len(parts) == 0 {
+		retryAfter = requestInterval
+	}
+	b.refuseLate(retryAfter)
 	return retryAfter, true
 }
 
@@ -194,16 +204,37 @@
 	b.waiting = b.waiting[spent:]
 }
 
-// refuseExpired refuses the requests that have waited too long.
-func (b *bucketLimiter) refuseExpired(retryAfter time.Duration) {
+// refuseLate refuses the requests that get no token in the time that they may wait, if the next token is available after nextToken.
+func (b *bucketLimiter) refuseLate(nextToken time.Duration) {
 	now := b.limiter.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	limit := b.waitLimit(now)
-	for len(b.waiting) > 0 && now.Sub(b.waiting[0].since) >= limit {
-		b.waiting[0].done <- overRate(retryAfter)
-		b.waiting = b.waiting[1:]
+	var waiting []*waiter
+	for _, w := range b.waiting {
+		after := nextToken + b.tokenTime(len(waiting))
+		decision := wait.Decide(now, wait.At(now.Add(after)), wait.Request{Deadline: w.latest(limit)})
+		if decision.Wait {
+			waiting = append(waiting, w)
+			continue
+		}
+		w.done <- overRate(after)
+	}
+	b.waiting = waiting
+}
+
+// tokenTime returns the time in which all VMs together get a number of tokens.
+func (b *bucketLimiter) tokenTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / b.limit.Rate * float64(time.Second))
+}
+
+// latest returns the last instant at which a token is of use, if a request may wait for limit.
+func (w *waiter) latest(limit time.Duration) time.Time {
+	latest := w.since.Add(limit)
+	if !w.deadline.IsZero() && w.deadline.Before(latest) {
+		return w.deadline
 	}
+	return latest
 }
 
 // abandon removes a request from the queue; a token granted to it at the same moment is lost, so that too few requests are admitted
@@ -221,5 +252,5 @@
 }
 
 func overRate(retryAfter time.Duration) error {
-	return model.Refuse(model.ReasonOverRate, "the team or route is above its rate and burst").WithRetryAfter(max(retryAfter, requestInterval))
+	return model.Refuse(model.ReasonOverRate, "the team or route is above its rate and burst").WithRetryAfter(wait.Spread(retryAfter, rand.Float64()))
 }
--- a/limit/limiter_test.go
+++ b/limit/limiter_test.go
@@ -18,6 +18,8 @@
 	mu          sync.Mutex
 	tokens      map[int]int
 	unavailable map[int]bool
+	// retryAfter is the time after which the holders have tokens again, 1 ms if it is 0.
+	retryAfter time.Duration
 }
 
 var errUnavailable = errors.New("holder unavailable")
@@ -31,7 +33,7 @@
 	}
 	granted := min(wanted, f.tokens[part.Index])
 	f.tokens[part.Index] -= granted
-	return quota.Grant{ID: "g", Tokens: granted, TTL: time.Minute, RetryAfter: time.Millisecond}, nil
+	return quota.Grant{ID: "g", Tokens: granted, TTL: time.Minute, RetryAfter: max(f.retryAfter, time.Millisecond)}, nil
 }
 
 func (f *fakeHolders) set(part, tokens int, unavailable bool) {
@@ -92,3 +94,39 @@
 	require.ErrorAs(t, New(holders, time.Now).Admit(ctx, "Teams/A", testLimit), &refusal)
 	require.Equal(t, model.ReasonOverload, refusal.Reason)
 }
+
+// TestRequestIsRefusedAtOnceIfItsTokenComesTooLate guards against callers that wait for a token that the holders announced for later than they may
+// wait or have time.
+func TestRequestIsRefusedAtOnceIfItsTokenComesTooLate(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		token, timeout    time.Duration
+		waits             bool
+		earliestRetryTime time.Duration
+	}{
+		{"after the caller's time", 100 * time.Millisecond, 50 * time.Millisecond, false, 100 * time.Millisecond},
+		{"after the longest wait", 2 * maxWait, 5 * time.Second, false, 2 * maxWait},
+		{"in time", 20 * time.Millisecond, 5 * time.Second, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			holders := newHolders()
+			holders.retryAfter = c.token
+			if c.waits {
+				time.AfterFunc(c.token, func() { holders.set(0, 1, false) })
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+			defer cancel()
+			start := time.Now()
+			err := New(holders, time.Now).Admit(ctx, "Teams/A", testLimit)
+			if c.waits {
+				require.NoError(t, err)
+				return
+			}
+			var refusal *model.Refusal
+			require.ErrorAs(t, err, &refusal)
+			require.Equal(t, model.ReasonOverRate, refusal.Reason)
+			require.GreaterOrEqual(t, refusal.RetryAfter, c.earliestRetryTime)
+			require.Less(t, time.Since(start), 25*time.Millisecond)
+		})
+	}
+}
