Soak: the seed with too many operations after two kills of all VMs is kept

Starts spend at most 11 tokens of the tolerance each, so they are not the cause. The soak counts each arrival, also one that the instance refuses; its check stays as it is.

--- a/soak/seeds_test.go
+++ b/soak/seeds_test.go
@@ -42,7 +42,18 @@
 // TestKillOfAllWithAnOrderUnderWayRecoversInTime guards against a group that gets no primary for 15 s: all VMs were killed while the platform held an
 // order of one of them, and the others wait until it cannot be under way any more.
 func TestKillOfAllWithAnOrderUnderWayRecoversInTime(t *testing.T) {
-	const seed = 733
+	requireKeptWithOrderFaults(t, 733)
+}
+
+// TestKillsOfAllVMsKeepTheRateOfATeam guards against operations that reach instances more often than the rate of their team allows, after all VMs were
+// killed twice: reads were sent to instance after instance, also to those that were known to lack what they require.
+func TestKillsOfAllVMsKeepTheRateOfATeam(t *testing.T) {
+	requireKeptWithOrderFaults(t, 2)
+}
+
+// requireKeptWithOrderFaults runs a seed with faults of the promotion service and requires that it violates nothing.
+func requireKeptWithOrderFaults(t *testing.T, seed uint64) {
+	t.Helper()
 	report, err := Run(t.Context(), Config{
 		Program: buildDaemon(t), Dir: t.TempDir(), Seed: seed, VMs: 6, Groups: 2, Sessions: 24, For: 15 * time.Second, OrderFaults: true, Log: log.New(io.Discard),
 	})
