Test: under random loads no request is held beyond the time in which it can start

In virtual time, 20 seeds of 400 requests of three teams and classes: a refusal comes by the last instant at which the request could have started (from the mean latency before the last change), plus one scheduling step, or on arrival.

--- a/owner/scheduler_test.go
+++ b/owner/scheduler_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,3 +149,56 @@
 		}
 	})
 }
+
+func meanLatency(s *scheduler) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.concurrency.MeanLatency()
+}
+
+// TestNoRefusalIsHeld plays random loads and requires that each request starts in time for its work or is refused no later than that.
+func TestNoRefusalIsHeld(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 36))
+			s := newScheduler(nil, tree.Instance{Name: "p", Slots: 2, Connections: 10}, time.Now)
+			var callers sync.WaitGroup
+			started, refused := 0, 0
+			var mu sync.Mutex
+			var before time.Duration // The mean latency before the last release.
+			for range 400 {
+				time.Sleep(time.Duration(random.ExpFloat64() * float64(4*time.Millisecond)))
+				timeout := time.Duration(20+random.IntN(400)) * time.Millisecond
+				work := time.Duration(5+random.IntN(30)) * time.Millisecond
+				r := testRequest(time.Now(), timeout, []tree.Class{tree.ClassReservation, tree.ClassNormal, tree.ClassBrowsing}[random.IntN(3)])
+				r.Team = model.TeamName(rune('A' + random.IntN(3)))
+				arrivedAt := time.Now()
+				callers.Go(func() {
+					err := s.acquire(t.Context(), &r)
+					mu.Lock()
+					defer mu.Unlock()
+					latest := r.Deadline.Add(-2 * min(before, meanLatency(s)))
+					if err == nil {
+						started++
+						require.False(t, time.Now().After(r.Deadline))
+						callers.Go(func() {
+							time.Sleep(work)
+							mu.Lock()
+							before = meanLatency(s)
+							mu.Unlock()
+							s.release(time.Now(), work)
+						})
+						return
+					}
+					refused++
+					inTime := !time.Now().After(latest.Add(schedulingTime))
+					require.True(t, inTime || time.Since(arrivedAt) <= schedulingTime, "held %s, %s too long", time.Since(arrivedAt), time.Since(latest))
+				})
+			}
+			callers.Wait()
+			require.Positive(t, started)
+			require.Positive(t, refused)
+			require.Zero(t, s.queue.Len())
+		})
+	}
+}
