A caller of a VM without settings is told when to return

Callers of a VM that has just started were rejected with BUSY and no time, and returned at once, again and again. The settings are now an outage like others: the time told is that of earlier ones, or as long again as the VM has been without. The rejection is logged with its detail.

Before: TestSessionAtAVMWithoutSettingsIsToldWhenToReturn could not pass, the rejection had an empty detail.

--- a/serve/await.go
+++ b/serve/await.go
@@ -32,7 +32,8 @@
 	stageOrdered wait.Stage = "Ordered"
 )
 
-// supply is what operations of a route need: the primary of its group or, for reads, any instance that may serve them.
+// supply is what operations of a route need: the primary of its group or, for reads, any instance that may serve them. The zero supply is the
+// settings, which all of them need.
 type supply struct {
 	group model.GroupName
 	// database names the route, unless primary is set.
--- a/serve/await_test.go
+++ b/serve/await_test.go
@@ -92,3 +92,17 @@
 	c.server.observeOutages(clock.Now())
 	require.Empty(t, c.server.outages.Open())
 }
+
+// TestSessionAtAVMWithoutSettingsIsToldWhenToReturn guards against callers who return at once, again and again, to a VM that has just started.
+func TestSessionAtAVMWithoutSettingsIsToldWhenToReturn(t *testing.T) {
+	const without = 300 * time.Millisecond
+	c, cache := newSessionWithoutLease(&countingLimiter{}, time.Second)
+	now := clock.Now()
+	first := c.server.rejection(now.Add(-without), model.FaultBusy)
+	require.Contains(t, first.Detail, "no settings")
+	require.GreaterOrEqual(t, c.server.rejection(now, model.FaultBusy).RetryAfter, without)
+	require.Equal(t, model.Reply{Fault: model.FaultNoAuth}, c.server.rejection(now, model.FaultNoAuth), "another time would not help")
+	require.NotNil(t, cache.Snapshot().Policy)
+	c.server.observeOutages(now)
+	require.Empty(t, c.server.outages.Open())
+}
--- a/serve/session.go
+++ b/serve/session.go
@@ -42,8 +42,9 @@
 	}
 	c.hello = hello
 	if _, _, fault := c.admit(); fault != "" {
-		c.server.config.Log.Info("session rejected", "database", hello.Database, "fault", fault, "policy", c.policyVersion())
-		if err := c.conn.Reject(fault, ""); err != nil {
+		reply := c.server.rejection(clock.Now(), fault)
+		c.server.config.Log.Info("session rejected", "database", hello.Database, "fault", fault, "detail", reply.Detail, "policy", c.policyVersion())
+		if err := c.conn.Reject(fault, reply.Detail); err != nil {
 			c.server.config.Log.Debug("rejection not delivered", "error", err)
 		}
 		return
@@ -76,6 +77,15 @@
 	return p.Admit(c.hello)
 }
 
+// rejection returns the reply to a caller whom the settings do not admit. A VM without settings tells when it expects them.
+func (s *Server) rejection(now time.Time, fault model.Fault) model.Reply {
+	if fault != model.FaultBusy {
+		return model.Reply{Fault: fault}
+	}
+	expected := s.outages.Missing(now, supply{}, stageNone).Expected
+	return s.refuse(fault, "this VM has no settings yet", expected.Sub(now))
+}
+
 func (c *callerSession) policyVersion() int64 {
 	if p := c.server.config.Cache.Snapshot().Policy; p != nil {
 		return p.Version
@@ -208,7 +218,7 @@
 	route, team, fault := c.admit()
 	op := operation{route: route, team: team, startedAt: now, policyVersion: c.policyVersion()}
 	if fault != "" {
-		op.refusal = model.Reply{Fault: fault}
+		op.refusal = c.server.rejection(now, fault)
 		op.endSession = fault != model.FaultBusy
 		return op
 	}
