Requests that wait for a connection are served once the instance takes connections again

Found by reading: after an instance refused a connection because it had too many, nothing woke the requests that wait, so that they waited until their deadline or until another connection came back.

--- a/conns/bucket.go
+++ b/conns/bucket.go
@@ -39,6 +39,14 @@
 	return b.waiting.Len() == 0 && b.pace.allows(now)
 }
 
+// allowedAt returns from when a statement may be sent, if there is a connection for it or one may be opened.
+func (b *bucket) allowedAt() time.Time {
+	if len(b.idle) == 0 && b.pausedUntil.After(b.pace.notBefore) {
+		return b.pausedUntil
+	}
+	return b.pace.notBefore
+}
+
 // refuseLate ends the waits of the requests that get no connection in time any more.
 func (b *bucket) refuseLate(now time.Time, budget int) {
 	for _, refused := range b.waiting.Refuse(now, b.capacity(budget)) {
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -300,13 +300,14 @@
 	p.wakeUp(now, b)
 }
 
-// wakeUp sees to it that the waiting requests are granted what the pace allows later; the caller holds the lock.
+// wakeUp sees to it that the waiting requests are granted what the bucket allows later; the caller holds the lock.
 func (p *Pool) wakeUp(now time.Time, b *bucket) {
-	if b.wakesUp || b.waiting.Len() == 0 || b.pace.allows(now) {
+	at := b.allowedAt()
+	if b.wakesUp || b.waiting.Len() == 0 || !at.After(now) {
 		return
 	}
 	b.wakesUp = true
-	time.AfterFunc(b.pace.notBefore.Sub(now), func() {
+	time.AfterFunc(at.Sub(now), func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		b.wakesUp = false
--- a/conns/wait_test.go
+++ b/conns/wait_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/tree"
 )
 
@@ -102,7 +103,23 @@
 	start := clock.Now()
 	_, err := p.Get(start, request("a", 50*time.Millisecond))
 	require.NoError(t, err)
-	require.LessOrEqual(t, d.deadline.Sub(time.Now()), 50*time.Millisecond)
+	require.LessOrEqual(t, time.Until(d.deadline), 50*time.Millisecond)
 	_, err = p.Get(start.Add(time.Second), request("a", -time.Second))
 	require.ErrorIs(t, err, ErrBusy, "no evidence against the instance")
 }
+
+// TestWaitingRequestIsServedOnceTheInstanceTakesConnectionsAgain guards against callers that wait until their deadline although a connection may be
+// opened: nothing woke them after an instance had refused one because it had too many.
+func TestWaitingRequestIsServedOnceTheInstanceTakesConnectionsAgain(t *testing.T) {
+	p, d := newPool(1)
+	d.err = &model.RefusedError{Fault: model.FaultTooMany}
+	_, err := p.Get(clock.Now(), request("a", time.Second))
+	require.Error(t, err)
+	d.mu.Lock()
+	d.err = nil
+	d.mu.Unlock()
+	start := clock.Now()
+	_, err = p.Get(start, request("a", 5*time.Second))
+	require.NoError(t, err)
+	require.InDelta(t, refusedPause, clock.Now().Sub(start), float64(100*time.Millisecond))
+}
--- a/wait/outages_test.go
+++ b/wait/outages_test.go
@@ -27,7 +27,7 @@
 		o.Available("g")
 		at = at.Add(time.Minute)
 	}
-	after := func(d time.Duration) time.Time { return at.Add(d) }
+	after := at.Add
 	for _, c := range []struct {
 		elapsed            time.Duration
 		earliest, expected time.Time
