A connection that could not be opened in 100 ms is evidence against the instance

Found in reading the change: status requests have 250 ms, less than the opening of a connection may take, so a dark primary without open connections would not have been suspected by them.

--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -73,6 +73,8 @@
 	err   error
 	// deadline is that of the last connection.
 	deadline time.Time
+	// wait is how long a connection that fails takes to fail.
+	wait time.Duration
 	// answer is that of the connections.
 	answer func(q model.Query) (model.Reply, error)
 }
@@ -82,6 +84,7 @@
 	defer d.mu.Unlock()
 	d.deadline = deadline
 	if d.err != nil {
+		time.Sleep(d.wait)
 		return nil, d.err
 	}
 	conn := &fakeInstanceConn{answer: d.answer}
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -13,6 +13,8 @@
 const (
 	// dialTimeout bounds the opening of a connection; a healthy instance takes about 15 ms.
 	dialTimeout = 400 * time.Millisecond
+	// minDialTime is the time with which the failure to open a connection is evidence against the instance.
+	minDialTime = 100 * time.Millisecond
 	// refusedPause is the pause before the next connection is opened to an instance that refused one because it had too many.
 	refusedPause = 300 * time.Millisecond
 )
@@ -178,8 +180,7 @@
 		g.evict.instanceConn.Close()
 	}
 	deadline := now.Add(dialTimeout)
-	cutShort := request.Deadline.Before(deadline)
-	if cutShort {
+	if request.Deadline.Before(deadline) {
 		deadline = request.Deadline
 	}
 	conn, err := p.config.Dialer.Dial(clock.Wall(deadline), request.Instance, request.Team)
@@ -191,11 +192,11 @@
 		c.taken(now, request)
 		return c, nil
 	}
-	return nil, p.dialFailed(request, err, cutShort)
+	return nil, p.dialFailed(request, err, deadline.Sub(now) < minDialTime)
 }
 
-// dialFailed returns the grant of a connection that was not opened, and the error for the request. A connection that the deadline of the request
-// cut short is no evidence against the instance.
+// dialFailed returns the grant of a connection that was not opened, and the error for the request. One that the deadline of the request cut short is
+// no evidence against the instance.
 func (p *Pool) dialFailed(request Request, err error, cutShort bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/conns/wait_test.go
+++ b/conns/wait_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusshore/crocusshore/clock"
@@ -123,3 +124,19 @@
 	require.NoError(t, err)
 	require.InDelta(t, refusedPause, clock.Now().Sub(start), float64(100*time.Millisecond))
 }
+
+// TestDialThatHadTimeIsEvidenceAgainstTheInstance guards against a dark primary that no VM suspects: status requests, which have less time than the
+// opening of a connection may take, were no evidence.
+func TestDialThatHadTimeIsEvidenceAgainstTheInstance(t *testing.T) {
+	for _, c := range []struct {
+		time     time.Duration
+		evidence bool
+	}{{250 * time.Millisecond, true}, {20 * time.Millisecond, false}} {
+		p, d := newPool(1)
+		d.err = model.ErrNoAnswer
+		d.wait = c.time
+		_, err := p.Get(clock.Now(), request("a", c.time))
+		require.Error(t, err)
+		require.Equal(t, !c.evidence, errors.Is(err, ErrBusy))
+	}
+}
