An outage that is overdue is expected to last no longer than the longest one before it

A caller that asks early is refused at once; one that asks too late misses the end of the outage.

Before: the new case of TestOutageIsExpectedToLastAsLongAsEarlierOnes failed (36 s in place of 24 s).

--- a/wait/outages.go
+++ b/wait/outages.go
@@ -89,7 +89,7 @@
 }
 
 // forecast returns when an outage that began at since ends, if earlier ones took the given durations. One that is longer than all of them is
-// expected to last as long again as it is overdue.
+// expected to last as long again as it is overdue, but no longer than the longest: a caller that is told too long a time misses its end.
 func forecast(now, since time.Time, durations []time.Duration) Forecast {
 	var shortest, longest, sum time.Duration
 	if len(durations) > 0 {
@@ -100,8 +100,10 @@
 	}
 	mean := sum / time.Duration(max(1, len(durations)))
 	switch elapsed := now.Sub(since); {
+	case longest > 0 && elapsed >= longest:
+		return At(now.Add(min(elapsed-longest, longest)))
 	case elapsed >= longest:
-		return At(now.Add(elapsed - longest))
+		return At(now.Add(elapsed))
 	case elapsed >= mean:
 		return Forecast{Earliest: now, Expected: since.Add(longest)}
 	default:
--- a/wait/outages_test.go
+++ b/wait/outages_test.go
@@ -37,6 +37,7 @@
 		{2500 * time.Millisecond, after(2500 * time.Millisecond), after(3 * time.Second)},
 		{3500 * time.Millisecond, after(3500 * time.Millisecond), after(4 * time.Second)},
 		{5 * time.Second, after(6 * time.Second), after(6 * time.Second)},
+		{20 * time.Second, after(24 * time.Second), after(24 * time.Second)}, // Not later: asking again costs a caller little.
 	} {
 		require.Equal(t, Forecast{Earliest: c.earliest, Expected: c.expected}, o.Missing(after(c.elapsed), "other", failover), "after %s", c.elapsed)
 	}
