Statements whose instances fail are refused as soon as their outage is known to outlast them

Now each attempt that shows a failure counts as one of the outage, and the forecast decides at once. The forecast takes the lower quartile and the median of those earlier outages that lasted longer than this one has, so that many short ones say nothing of a long one; an overdue one is expected to last 5 s more at most.

--- a/serve/await.go
+++ b/serve/await.go
@@ -189,15 +189,19 @@
 // retryAfter returns the time after which an instance may take a statement that it did not take because of err; it is 0 if unknown. A primary that
 // fails is expected to answer or to be replaced as others were before.
 func (c *callerSession) retryAfter(op operation, to target, err error) time.Duration {
-	if !errors.Is(err, errRecentlyFailed) {
+	switch {
+	case !isFailing(err):
 		return conns.RetryAfter(err)
-	}
-	if !to.primary {
+	case to.primary:
+		return c.failingRetryAfter(op, true)
+	default:
 		return place.AttemptInterval
 	}
-	return c.failingRetryAfter(op, true)
 }
 
+// isFailing reports whether an attempt ended with err because its instance fails, as was found now or just before.
+func isFailing(err error) bool { return errors.Is(err, errRecentlyFailed) || showsFailure(err) }
+
 // failingRetryAfter returns the time after which instances that are known to fail may answer, the primary or all that may serve a read: the time
 // until the next attempt, unless they are expected to fail for longer than the operation has.
 func (c *callerSession) failingRetryAfter(op operation, primary bool) time.Duration {
--- a/serve/await_test.go
+++ b/serve/await_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/state"
 	"github.com/crocusshore/crocusshore/wait"
@@ -106,3 +108,38 @@
 	c.server.observeOutages(now)
 	require.Empty(t, c.server.outages.Open())
 }
+
+// failingSource provides no connection, since no instance can be reached.
+type failingSource struct{}
+
+func (failingSource) Get(time.Time, conns.Request) (model.PooledConn, error) {
+	return nil, errors.New("connection refused")
+}
+
+func (failingSource) Put(time.Time, model.PooledConn) {}
+
+// TestStatementIsRefusedOnceItsInstancesAreFoundToFailForLonger guards against callers that are held while all instances that may serve them fail,
+// also if that is found with the first attempt: the pauses between attempts grew up to half of the caller's time.
+func TestStatementIsRefusedOnceItsInstancesAreFoundToFailForLonger(t *testing.T) {
+	const failing, timeout = 4 * time.Second, 800 * time.Millisecond
+	for _, write := range []bool{true, false} {
+		c, cache := newSessionWithoutLease(&countingLimiter{}, timeout)
+		c.server.config.Source = failingSource{}
+		recordPrimary(t, cache)
+		op := c.admitOperation(clock.Now(), write)
+		require.Empty(t, op.refusal.Fault)
+		need := supplyOf(op, write)
+		need.answering = true
+		recordOutage(c, need, stageFailing, failing)
+		start := clock.Now()
+		var reply model.Reply
+		if write {
+			reply = c.write(op, statement{write: true})
+		} else {
+			reply = c.read(op, statement{})
+		}
+		require.Equal(t, model.FaultBusy, reply.Fault)
+		require.Less(t, clock.Now().Sub(start), 2*leasePollInterval)
+		require.GreaterOrEqual(t, reply.RetryAfter, failing-2*leasePollInterval)
+	}
+}
--- a/serve/read.go
+++ b/serve/read.go
@@ -153,14 +153,19 @@
 	}
 }
 
-// trackFailure records an instance that could not be reached or did not answer. It ignores errors that are no evidence of that, such as a
-// full pool or a VM that owns the connection and does not answer.
+// trackFailure records an instance that could not be reached or did not answer.
 func (s *Server) trackFailure(instance model.InstanceName, err error) {
-	if errors.IsAny(err, conns.ErrBusy, errRecentlyFailed, errLease, remote.ErrLease, remote.ErrOwnerNoAnswer) {
-		return
+	if showsFailure(err) {
+		s.config.Tracker.RecordFailure(clock.Now(), instance)
 	}
-	if refused, ok := model.Refused(err); ok && refused.Fault != model.FaultMisdirected {
-		return
+}
+
+// showsFailure reports whether an error shows that an instance could not be reached or did not answer. A full pool does not, nor does a VM that owns
+// the connection and does not answer.
+func showsFailure(err error) bool {
+	if err == nil || errors.IsAny(err, conns.ErrBusy, errRecentlyFailed, errLease, remote.ErrLease, remote.ErrOwnerNoAnswer) {
+		return false
 	}
-	s.config.Tracker.RecordFailure(clock.Now(), instance)
+	refused, ok := model.Refused(err)
+	return !ok || refused.Fault == model.FaultMisdirected
 }
--- a/serve/round.go
+++ b/serve/round.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/crocusshore/crocusshore/model"
 )
 
@@ -13,7 +11,7 @@
 	tried map[model.InstanceName]bool
 	// retryAfter is the time after which the first of them may take the statement; it is 0 if unknown.
 	retryAfter time.Duration
-	// failing is set while each of them is known to fail.
+	// failing is set while each of them fails.
 	failing bool
 }
 
@@ -22,14 +20,14 @@
 // add records an attempt.
 func (r *round) add(instance model.InstanceName, a attempt) {
 	r.tried[instance] = true
-	r.failing = r.failing && errors.Is(a.err, errRecentlyFailed)
+	r.failing = r.failing && isFailing(a.err)
 	if a.retryAfter > 0 && (r.retryAfter == 0 || a.retryAfter < r.retryAfter) {
 		r.retryAfter = a.retryAfter
 	}
 }
 
 // roundRetryAfter returns the time after which one of the instances of a round may take the operation's statement; it is 0 if unknown. If all of
-// them are known to fail, they are expected to answer as they did after earlier failures.
+// them fail, they are expected to answer as they did after earlier failures.
 func (c *callerSession) roundRetryAfter(op operation, r *round) time.Duration {
 	if !r.failing || len(r.tried) == 0 {
 		return r.retryAfter
--- a/wait/decide.go
+++ b/wait/decide.go
@@ -23,7 +23,7 @@
 
 	// Forecast tells when something that is missing is available again.
 	Forecast struct {
-		// Earliest is the first instant at which it may be, and Expected the one at which it usually is.
+		// Earliest is when it is at the earliest in most cases, and Expected when it usually is.
 		Earliest, Expected time.Time
 	}
 
--- a/wait/outages.go
+++ b/wait/outages.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// maxDurations bounds the durations of past outages that are kept of each stage.
-const maxDurations = 8
+const (
+	// maxDurations bounds the durations of past outages that are kept of each stage.
+	maxDurations = 8
+	// maxOverdue bounds how long an outage is expected to last that is longer than all before it. A caller that asks again too early is refused at
+	// once, and one that asks too late misses the end of the outage.
+	maxOverdue = 5 * time.Second
+)
 
 type (
 	// Stage is how far the end of an outage has come, as far as that is known; stages of one name end after similar times.
@@ -88,32 +93,20 @@
 	return keys
 }
 
-// forecast returns when an outage that began at since ends, if earlier ones took the given durations. One that is longer than all of them is
-// expected to last as long again as it is overdue, but no longer than the longest: a caller that is told too long a time misses its end.
+// forecast returns when an outage that began at since ends, from those earlier durations that are longer than it has lasted: their lower quartile
+// and their median. If there is none, it is expected to last as long again as it is overdue, but no longer than maxOverdue.
 func forecast(now, since time.Time, durations []time.Duration) Forecast {
-	var shortest, longest, sum time.Duration
-	if len(durations) > 0 {
-		shortest, longest = slices.Min(durations), slices.Max(durations)
-	}
+	var longer []time.Duration
+	longest := time.Duration(0)
 	for _, d := range durations {
-		sum += d
-	}
-	mean := sum / time.Duration(max(1, len(durations)))
-	switch elapsed := now.Sub(since); {
-	case longest > 0 && elapsed >= longest:
-		return At(now.Add(min(elapsed-longest, longest)))
-	case elapsed >= longest:
-		return At(now.Add(elapsed))
-	case elapsed >= mean:
-		return Forecast{Earliest: now, Expected: since.Add(longest)}
-	default:
-		return Forecast{Earliest: maxTime(now, since.Add(shortest)), Expected: since.Add(mean)}
+		longest = max(longest, d)
+		if d > now.Sub(since) {
+			longer = append(longer, d)
+		}
 	}
-}
-
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+	if len(longer) == 0 {
+		return At(now.Add(min(now.Sub(since)-longest, maxOverdue)))
 	}
-	return b
+	slices.Sort(longer)
+	return Forecast{Earliest: since.Add(longer[len(longer)/4]), Expected: since.Add(longer[len(longer)/2])}
 }
