--- a/serve/await.go
+++ b/serve/await.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -79,9 +80,10 @@
 			s.outages.Available(need)
 			return model.Reply{}, true
 		}
-		decision := wait.Decide(now, s.outages.Missing(now, need, s.stage(now, op.route.Group)), c.left(op))
+		stage := s.stage(now, op.route.Group)
+		decision := wait.Decide(now, s.outages.Missing(now, need, stage), c.left(op))
 		if !decision.Wait {
-			return s.refuse(model.FaultBusy, reason, decision.RetryAfter), false
+			return s.refuse(model.FaultBusy, fmt.Sprintf("%s stage=%s", reason, stage), decision.RetryAfter), false
 		}
 		time.Sleep(leasePollInterval)
 	}
--- a/serve/await_test.go
+++ b/serve/await_test.go
@@ -54,6 +54,7 @@
 	require.Equal(t, model.FaultBusy, op.refusal.Fault)
 	require.Less(t, clock.Now().Sub(start), 2*leasePollInterval)
 	require.GreaterOrEqual(t, op.refusal.RetryAfter, replacement-2*leasePollInterval)
+	require.Contains(t, op.refusal.Detail, "stage=None", "the log tells what the decision rests on")
 }
 
 // TestOperationIsRefusedOnceAnOutageLastsTooLong guards against callers that are held until their deadline by an outage whose end is unknown.
