A transaction at a failing primary is refused by the forecast of the primary

Found in reading the change: the round of a writing transaction counted as an outage of reads. That one ends as soon as a replica answers, which leaves a duration of some milliseconds behind, and forecasts from it hold callers in pauses of 200 ms.

Before: TestTransactionIsRefusedOnceItsPrimaryIsFoundToFailForLonger failed in its last line (an outage of reads was open too); its other lines passed.

--- a/serve/await_test.go
+++ b/serve/await_test.go
@@ -144,3 +144,22 @@
 		require.GreaterOrEqual(t, reply.RetryAfter, failing-2*leasePollInterval)
 	}
 }
+
+// TestTransactionIsRefusedOnceItsPrimaryIsFoundToFailForLonger guards against transactions that are held by a failing primary since replicas answer.
+func TestTransactionIsRefusedOnceItsPrimaryIsFoundToFailForLonger(t *testing.T) {
+	const failing, timeout = 4 * time.Second, 800 * time.Millisecond
+	c, cache := newSessionWithoutLease(&countingLimiter{}, timeout)
+	c.server.config.Source = failingSource{}
+	recordPrimary(t, cache)
+	op := c.admitOperation(clock.Now(), true)
+	require.Empty(t, op.refusal.Fault)
+	recordOutage(c, supply{group: "g", primary: true, answering: true}, stageFailing, failing)
+	c.tx = &transaction{op: op}
+	start := clock.Now()
+	refusal, bound := c.bind(op, model.Command{})
+	require.False(t, bound)
+	require.Equal(t, model.FaultBusy, refusal.Fault)
+	require.Less(t, clock.Now().Sub(start), leasePollInterval)
+	require.GreaterOrEqual(t, refusal.RetryAfter, failing-2*leasePollInterval)
+	require.Equal(t, []supply{{group: "g", primary: true, answering: true}}, c.server.outages.Open(), "reads have other instances")
+}
--- a/serve/read.go
+++ b/serve/read.go
@@ -37,7 +37,7 @@
 	for now := op.startedAt; now.Before(c.deadline(op)); now = clock.Now() {
 		to, ok := c.nextUntried(now, op, round.tried)
 		if !ok {
-			if !c.pause(op, c.roundRetryAfter(op, round)) {
+			if !c.pause(op, c.roundRetryAfter(op, round, false)) {
 				break
 			}
 			round = newRound()
@@ -53,7 +53,7 @@
 			return reply
 		}
 	}
-	reply := c.advise(op, c.unservedReply(op, step, last, c.roundRetryAfter(op, round)))
+	reply := c.advise(op, c.unservedReply(op, step, last, c.roundRetryAfter(op, round, false)))
 	c.report(op, s.command, lastInstance, reply, attempts)
 	return reply
 }
--- a/serve/round.go
+++ b/serve/round.go
@@ -27,10 +27,10 @@
 }
 
 // roundRetryAfter returns the time after which one of the instances of a round may take the operation's statement; it is 0 if unknown. If all of
-// them fail, they are expected to answer as they did after earlier failures.
-func (c *callerSession) roundRetryAfter(op operation, r *round) time.Duration {
+// them fail, they are expected to answer as they did after earlier failures. primary is set if only the primary was to be tried.
+func (c *callerSession) roundRetryAfter(op operation, r *round, primary bool) time.Duration {
 	if !r.failing || len(r.tried) == 0 {
 		return r.retryAfter
 	}
-	return c.failingRetryAfter(op, false)
+	return c.failingRetryAfter(op, primary)
 }
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -96,7 +96,7 @@
 			return refusal, false
 		}
 		if !found {
-			retryAfter := c.roundRetryAfter(op, round)
+			retryAfter := c.roundRetryAfter(op, round, !c.tx.readOnly)
 			if !c.pause(op, retryAfter) {
 				return c.server.refuse(model.FaultBusy, "no instance can open the transaction", op.retryAfter(clock.Now(), retryAfter)), false
 			}
@@ -149,9 +149,7 @@
 		c.server.recordReplicaMark(sentAt, to, reply)
 	}
 	if err != nil || reply.Fault != "" {
-		if err != nil {
-			c.server.trackFailure(to.instance.Name, err)
-		}
+		c.server.trackFailure(to.instance.Name, err)
 		c.server.config.Source.Put(clock.Now(), conn)
 		return attempt{reply: reply, err: err, retryAfter: c.slotRetryAfter(op, to, reply.Fault)}
 	}
