One stalled statement does not stop those that have to wait

What callers would have seen: after one statement took seconds (a VM or an instance that stood still), each one that needed a new connection or had to wait was refused at once, without end: the usual work left no time before their deadlines, so that none was tried that could have shown it wrong.

Now a single sample counts four times the usual at most (usual work of a route, work and hold time of a connection), and half of a route's timeout is left to wait whatever the usual work is.

--- a/conns/bucket.go
+++ b/conns/bucket.go
@@ -6,15 +6,19 @@
 	"github.com/crocusshore/crocusshore/queue"
 )
 
-// smoothing is the weight of one sample in a moving average.
-const smoothing = 0.1
+const (
+	// smoothing is the weight of one sample in a moving average.
+	smoothing = 0.1
+	// maxOutlier bounds the effect of a single sample, such as that of a statement that stalled, as a multiple of the average.
+	maxOutlier = 4
+)
 
 // recordMean adds a sample to a moving average, which is 0 before the first one.
 func recordMean(mean *time.Duration, sample time.Duration) {
 	if *mean == 0 {
 		*mean = sample
 	}
-	*mean += time.Duration(smoothing * float64(sample-*mean))
+	*mean += time.Duration(smoothing * float64(min(sample, maxOutlier**mean)-*mean))
 }
 
 // recordHold records for how long a connection was held, unless it was for a status request.
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -90,6 +90,21 @@
 	require.False(t, tracker.Assess(now.Add(work), candidate("i", nil)).Full)
 }
 
+// TestUsualWorkIsNotThatOfOneStalledStatement guards against requests that are refused since one statement took very long.
+func TestUsualWorkIsNotThatOfOneStalledStatement(t *testing.T) {
+	const work = 20 * time.Millisecond
+	tracker := NewTracker()
+	now := time.Unix(100, 0)
+	for _, took := range []time.Duration{work, 7 * time.Second, work, work} {
+		tracker.RecordAnswer(now, Latency{Route: "r", Took: took, Work: took}, "i")
+	}
+	require.Less(t, tracker.UsualWork("r"), 2*work)
+	for range 60 {
+		tracker.RecordAnswer(now, Latency{Route: "r", Took: 5 * work, Work: 5 * work}, "i")
+	}
+	require.InDelta(t, 5*work, tracker.UsualWork("r"), float64(work), "an instance that stays slow is noticed")
+}
+
 // TestReplicaThatLagsIsAskedAgainAfterAsLongAgain guards against reads that each ask a replica which is known to lack what they require.
 func TestReplicaThatLagsIsAskedAgainAfterAsLongAgain(t *testing.T) {
 	tracker := NewTracker()
--- a/place/tracker.go
+++ b/place/tracker.go
@@ -10,6 +10,8 @@
 const (
 	// smoothing is the weight of one latency in the moving averages.
 	smoothing = 0.1
+	// maxOutlier bounds the effect of a single statement on the usual work, as a multiple of it.
+	maxOutlier = 4
 	// failureTTL is how long after a failure an instance ranks last, unless it answers.
 	failureTTL = 2 * time.Second
 	// slownessTTL is how long a measured slowness counts without new latencies.
@@ -87,7 +89,7 @@
 	s := t.stats(instance)
 	s.recordAlive(now)
 	if l.Work > 0 {
-		recordMean(t.usualWork, l.Route, l.Work.Seconds())
+		t.recordWork(l.Route, l.Work.Seconds())
 	}
 	took := l.Took.Seconds()
 	usual := recordMean(t.usualLatency, l.Route, took)
@@ -112,6 +114,14 @@
 	return mean
 }
 
+// recordWork adds a sample to the usual work of a route. A statement that stalled counts as maxOutlier times the usual work at most.
+func (t *Tracker) recordWork(route model.RouteName, work float64) {
+	if usual, known := t.usualWork[route]; known {
+		work = min(work, maxOutlier*usual)
+	}
+	recordMean(t.usualWork, route, work)
+}
+
 // UsualWork returns how long instances usually take for a statement of a route; it is 0 if unknown.
 func (t *Tracker) UsualWork(route model.RouteName) time.Duration {
 	t.mu.Lock()
--- a/serve/await.go
+++ b/serve/await.go
@@ -91,7 +91,8 @@
 
 // left returns what the operation has left: the time until its deadline, and its work.
 func (c *callerSession) left(op operation) wait.Request {
-	return wait.Request{Deadline: c.deadline(op), Work: c.server.config.Tracker.UsualWork(op.route.Name)}
+	work := min(c.server.config.Tracker.UsualWork(op.route.Name), wait.MaxWork(op.route.Timeout))
+	return wait.Request{Deadline: c.deadline(op), Work: work}
 }
 
 // deadline returns the deadline of the operation's present statement.
--- a/serve/await_test.go
+++ b/serve/await_test.go
@@ -10,6 +10,8 @@
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/place"
+	"github.com/crocusshore/crocusshore/policy"
 	"github.com/crocusshore/crocusshore/state"
 	"github.com/crocusshore/crocusshore/wait"
 )
@@ -163,3 +165,13 @@
 	require.GreaterOrEqual(t, refusal.RetryAfter, failing-2*leasePollInterval)
 	require.Equal(t, []supply{{group: "g", primary: true, answering: true}}, c.server.outages.Open(), "reads have other instances")
 }
+
+// TestStalledStatementLeavesOthersTimeToWait guards against a VM that refuses everything that has to wait after one statement took very long: no
+// connection was opened any more, so that no later statement could show that the instance is fast again.
+func TestStalledStatementLeavesOthersTimeToWait(t *testing.T) {
+	const timeout, stalled = 800 * time.Millisecond, 7 * time.Second
+	c, _ := newSessionWithoutLease(&countingLimiter{}, timeout)
+	op := operation{route: policy.Route{Name: "r", Group: "g", Timeout: timeout}, startedAt: clock.Now()}
+	c.server.config.Tracker.RecordAnswer(op.startedAt, place.Latency{Route: "r", Took: stalled, Work: stalled}, "p")
+	require.Equal(t, op.startedAt.Add(timeout/2), c.left(op).LatestStart())
+}
--- a/wait/decide.go
+++ b/wait/decide.go
@@ -41,6 +41,10 @@
 // LatestStart returns the last instant at which a request can start and usually end by its deadline.
 func (r Request) LatestStart() time.Time { return r.Deadline.Add(-workFactor * r.Work) }
 
+// MaxWork returns the longest work that a request with a timeout is taken to need. With it, half of the timeout is left to wait, however long the
+// last requests took; otherwise none would be tried that could show that they are faster again.
+func MaxWork(timeout time.Duration) time.Duration { return timeout / (2 * workFactor) }
+
 // At returns the forecast of something that is expected at an instant and not before.
 func At(instant time.Time) Forecast { return Forecast{Earliest: instant, Expected: instant} }
 
