Answers that do not belong to their statements are logged and counted

A line names the statement, the instance, why the answer cannot be told to be its own (a proof that the connection has had, no proof, a state that does not follow, the same answer without a proof as before), and how many answers the connection had; a counter with the same reason. What callers get is as before.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -30,6 +30,11 @@
 	// takenAt is when a statement or transaction of a caller took the connection, and usedAt when it was last returned.
 	takenAt, usedAt time.Time
 	broken          bool
+	// answers are those that the connection has had, and state is that of the transaction after the last one.
+	answers *answers
+	state   model.TxState
+	// onUnmatched, if set, is called with each answer that cannot be told to be the one to its query.
+	onUnmatched func(unmatched)
 	// onAnswer, if set, is called with each answer of the instance; work is set for a statement that reads or writes.
 	onAnswer func(now time.Time, instance model.InstanceName, work bool, reply model.Reply)
 }
@@ -79,11 +84,15 @@
 
 func (c *Conn) run(deadline time.Time, setup []model.Query, values map[string]string, q model.Query) (model.Reply, error) {
 	sentAt := clock.Now()
-	replies, err := c.instanceConn.Exchange(clock.Wall(deadline), append(setup, q)...)
+	queries := append(setup, q)
+	replies, err := c.instanceConn.Exchange(clock.Wall(deadline), queries...)
 	if err != nil {
 		c.broken = true
 		return model.Reply{}, err
 	}
+	for n, reply := range replies {
+		c.observe(queries[n], reply)
+	}
 	for _, reply := range replies[:len(setup)] {
 		if reply.Fault != "" {
 			c.broken = true
@@ -110,13 +119,13 @@
 	var queries []model.Query
 	current := c.values
 	if c.needsReset(values) {
-		queries = append(queries, model.Query{Text: c.formatter.Reset()})
+		queries = append(queries, model.Query{Kind: model.CommandReset, Text: c.formatter.Reset()})
 		current = nil
 		c.prepared = map[model.Prepared]string{}
 	}
 	for name, value := range values {
 		if old, has := current[name]; !has || old != value {
-			queries = append(queries, model.Query{Text: c.formatter.Set(name, value)})
+			queries = append(queries, model.Query{Kind: model.CommandSet, Text: c.formatter.Set(name, value)})
 		}
 	}
 	if p == nil {
@@ -125,7 +134,7 @@
 	if _, has := c.prepared[*p]; !has {
 		c.preparedNameCount++
 		c.prepared[*p] = "p" + strconv.Itoa(c.preparedNameCount)
-		queries = append(queries, model.Query{Text: c.formatter.Prepare(c.prepared[*p], *p)})
+		queries = append(queries, model.Query{Kind: model.CommandPrepare, Text: c.formatter.Prepare(c.prepared[*p], *p)})
 	}
 	return queries
 }
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -1,9 +1,13 @@
 package conns
 
 import (
+	"io"
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/queue"
@@ -26,6 +30,9 @@
 		Formatter model.StatementFormatter
 		// Budget returns how many connections this VM may hold to an instance.
 		Budget func(instance model.Instance) int
+		// Log and Metrics, if set, receive the answers of instances that do not belong to their statements.
+		Log     *log.Logger
+		Metrics tally.Scope
 	}
 
 	// Request asks for a connection.
@@ -91,6 +98,12 @@
 
 // New returns an empty pool.
 func New(config Config) *Pool {
+	if config.Log == nil {
+		config.Log = log.New(io.Discard)
+	}
+	if config.Metrics == nil {
+		config.Metrics = tally.NoopScope
+	}
 	return &Pool{config: config, buckets: map[model.InstanceName]*bucket{}}
 }
 
@@ -187,7 +200,7 @@
 	if err == nil {
 		c := &Conn{
 			Instance: request.Instance, Team: request.Team, instanceConn: conn, formatter: p.config.Formatter,
-			prepared: map[model.Prepared]string{}, onAnswer: p.recordAnswer,
+			prepared: map[model.Prepared]string{}, onAnswer: p.recordAnswer, answers: newAnswers(), state: model.TxNone, onUnmatched: p.recordUnmatched,
 		}
 		c.taken(now, request)
 		return c, nil
--- /dev/null
+++ b/conns/unmatched.go
@@ -0,0 +1,39 @@
+package conns
+
+import "github.com/crocusshore/crocusshore/model"
+
+// unmatched describes an answer that cannot be told to be the one to its query.
+type unmatched struct {
+	conn    *Conn
+	query   model.Query
+	reply   model.Reply
+	verdict verdict
+	// had is the number of different answers that the connection had had.
+	had int
+}
+
+// observe remembers a reply and reports it if it cannot be told to be the answer to a query.
+func (c *Conn) observe(q model.Query, reply model.Reply) {
+	if c.answers == nil {
+		return
+	}
+	if v := c.answers.judge(q, c.state, reply); v != verdictAccepted {
+		c.report(q, reply, v)
+	}
+	c.answers.add(reply)
+	c.state = reply.State
+}
+
+func (c *Conn) report(q model.Query, reply model.Reply, v verdict) {
+	if c.onUnmatched != nil {
+		c.onUnmatched(unmatched{conn: c, query: q, reply: reply, verdict: v, had: len(c.answers.whole)})
+	}
+}
+
+// recordUnmatched logs and counts an answer that does not belong to its statement.
+func (p *Pool) recordUnmatched(u unmatched) {
+	p.config.Metrics.Tagged(map[string]string{"verdict": string(u.verdict)}).Counter("unmatched_answers").Inc(1)
+	p.config.Log.Warn("answer does not belong to its statement", "verdict", u.verdict, "instance", u.conn.Instance.Name, "team", u.conn.Team,
+		"id", u.query.ID, "kind", u.query.Kind, "rows", len(u.reply.Rows), "fault", u.reply.Fault, "state", u.reply.State, "mark", u.reply.Mark,
+		"earlier-answers", u.had)
+}
--- a/model/command.go
+++ b/model/command.go
@@ -22,6 +22,8 @@
 	CommandExecute CommandKind = "Execute"
 	// CommandDeallocate drops a prepared statement.
 	CommandDeallocate CommandKind = "Deallocate"
+	// CommandReset drops all values and prepared statements of a session; only the proxy sends it.
+	CommandReset CommandKind = "Reset"
 	// CommandQuit ends the session.
 	CommandQuit CommandKind = "Quit"
 	// CommandInvalid is a message that is not a valid statement.
@@ -39,6 +41,28 @@
 	}
 }
 
+// GivesProof reports whether a success of a statement of the kind carries the proof of its instance.
+func (k CommandKind) GivesProof() bool {
+	switch k {
+	case CommandCommit, CommandRead, CommandWrite, CommandExecute:
+		return true
+	default:
+		return false
+	}
+}
+
+// StateAfter returns the transaction state after a statement of the kind succeeded in a state.
+func (k CommandKind) StateAfter(state TxState) TxState {
+	switch k {
+	case CommandBegin:
+		return TxOpen
+	case CommandCommit, CommandRollback:
+		return TxNone
+	default:
+		return state
+	}
+}
+
 type (
 	// Hello is the first message of a caller's session.
 	Hello struct {
--- a/model/instanceconn.go
+++ b/model/instanceconn.go
@@ -33,7 +33,9 @@
 	// Query is one statement for an instance.
 	Query struct {
 		// ID is the caller's request id of the statement; it is empty for statements of the proxy itself.
-		ID   RequestID
+		ID RequestID
+		// Kind tells which answers a success can have; if it is empty, that is unknown.
+		Kind CommandKind
 		Text string
 		// Since is the log position that the instance must have received; the zero position requires nothing.
 		Since Mark
--- a/node/node.go
+++ b/node/node.go
@@ -94,7 +94,9 @@
 	s := config.Settings
 	n.settings.Store(&s)
 	n.cache = state.New(state.Config{VM: s.VM, Boot: n.boot, LeaseTTL: leaseTTL})
-	n.pool = conns.New(conns.Config{Dialer: config.Dialer, Formatter: platform.StatementFormatter{}, Budget: n.connectionBudget})
+	n.pool = conns.New(conns.Config{
+		Dialer: config.Dialer, Formatter: platform.StatementFormatter{}, Budget: n.connectionBudget, Log: config.Log, Metrics: config.Scope,
+	})
 	n.rankings = state.NewRankings(n.cache)
 	domainLimiter := share.New(clock.Now(), share.Config{
 		Domain: s.Domain, Weight: n.weight, Team: n.team, Slack: s.RateSlack, Excess: s.RateExcess, Window: s.RateWindow,
--- a/serve/statement.go
+++ b/serve/statement.go
@@ -29,7 +29,7 @@
 
 // send sets the session's values on a connection and runs the statement on it.
 func (c *callerSession) send(conn model.PooledConn, deadline time.Time, s statement, since model.Mark) (model.Reply, error) {
-	query := model.Query{ID: s.command.ID, Text: s.command.Text, Since: since, Work: s.command.Kind != model.CommandCommit}
+	query := model.Query{ID: s.command.ID, Kind: s.command.Kind, Text: s.command.Text, Since: since, Work: s.command.Kind != model.CommandCommit}
 	if s.prepared != nil {
 		return conn.Execute(deadline, c.session.Values, *s.prepared, query, s.command.Arguments)
 	}
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -139,7 +139,7 @@
 		c.server.config.Source.Put(sentAt, conn)
 		return attempt{err: errLease}
 	}
-	begin := model.Query{ID: c.tx.beginID, Text: c.server.config.Formatter.Begin(c.tx.readOnly), Since: to.since}
+	begin := model.Query{ID: c.tx.beginID, Kind: model.CommandBegin, Text: c.server.config.Formatter.Begin(c.tx.readOnly), Since: to.since}
 	reply, err := conn.Run(c.attemptDeadline(sentAt, c.deadline(op)), c.session.Values, begin)
 	if err == nil && reply.Fault == "" && reply.State != model.TxOpen {
 		err = errors.New("the instance did not open the transaction")
@@ -231,7 +231,7 @@
 	conn := t.conn
 	t.conn = nil
 	if !conn.Broken() {
-		reply, err := conn.Run(clock.Now().Add(rollbackTimeout), c.session.Values, model.Query{ID: t.rollbackID, Text: c.server.config.Formatter.Rollback()})
+		reply, err := conn.Run(clock.Now().Add(rollbackTimeout), c.session.Values, model.Query{ID: t.rollbackID, Kind: model.CommandRollback, Text: c.server.config.Formatter.Rollback()})
 		if err != nil || reply.Fault != "" || reply.State != model.TxNone {
 			conn.Break()
 		}
