Stand-in: a proof belongs to its statement and its rows

The stand-in's proof was its name and the length of its log, and BEGIN and SET had one too: a swapped answer showed only by its value. Its connections have nothing to receive without being asked (Receive).

--- a/stand/clusterconn.go
+++ b/stand/clusterconn.go
@@ -1,7 +1,6 @@
 package stand
 
 import (
-	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -28,6 +27,9 @@
 	prepared map[string]string
 }
 
+// provenStatements holds the first words of the statements whose success carries a proof.
+var provenStatements = map[string]bool{"READ": true, "WRITE": true, "EXEC": true, "COMMIT": true}
+
 // syncPollInterval is the interval at which a commit checks whether a replica has received it.
 const syncPollInterval = time.Millisecond
 
@@ -44,6 +46,11 @@
 	return replies, nil
 }
 
+// Receive returns an error: nothing answers without being asked.
+func (c *clusterConn) Receive(time.Time) (model.Reply, error) {
+	return model.Reply{}, model.ErrNoAnswer
+}
+
 func (c *clusterConn) run(deadline time.Time, q model.Query) (model.Reply, error) {
 	c.cluster.mu.Lock()
 	faults, generation := c.database.faults, c.database.generation
@@ -62,6 +69,7 @@
 		return busy, nil
 	}
 	reply, wait := c.execute(q)
+	c.sign(q, &reply)
 	entry := ackedCommit{id: q.ID, mark: wait, at: time.Now(), late: c.cluster.replaced(c.database)}
 	c.cluster.mu.Unlock()
 	if wait != (model.Mark{}) && !c.awaitReplication(deadline, entry) {
@@ -205,7 +213,15 @@
 }
 
 func (c *clusterConn) success() model.Reply {
-	return model.Reply{Proof: fmt.Sprintf("%s.%d", c.database.instance.Name, len(c.database.log.entries)), State: c.state(), Mark: c.position()}
+	return model.Reply{State: c.state(), Mark: c.position()}
+}
+
+// sign adds the proof to a successful answer to a read, a write or a commit.
+func (c *clusterConn) sign(q model.Query, reply *model.Reply) {
+	verb, _, _ := strings.Cut(q.Text, " ")
+	if reply.Fault == "" && provenStatements[verb] {
+		reply.Proof = Proof(c.database.instance.Name, q.ID, reply.Rows)
+	}
 }
 
 // position returns the end of the log, with the term of the instance if it is higher than the term of the last commit. A primary without
