An answer counts for a statement only if it cannot be an earlier one once more

Cause: answers were matched to statements by their order alone. One answer too many shifts all later answers of a connection by one.

The very same whole answer as before is dropped, and the statement's own is read; the same proof in another answer ends the connection. - The state after a statement has to follow from it. A success of the proxy's own statements has neither rows nor a proof. - A connection ends with its first fault, so a fault cannot be an earlier fault once more, and a promise is that of its statement. - BEGIN whose answer is the same as an earlier one of the connection does not count. A state that is the same as an earlier one is confirmed by an answer of another shape. - Before anything is sent, what has arrived unasked is read: repetitions are dropped, anything else ends the connection, with nothing sent. - Values and PREPARE are sent first and have to succeed; only then is the lease checked and the statement sent. - A connection remembers 2,000 different answers (hashes) and is replaced then. - The owner of a connection tells the VM that asked when the connection has ended, so that no ROLLBACK runs on another one. Ruled out: an id or a sequence in the answers (the protocol has none); taking the proof apart (it is opaque).

The fakes of conns gave every statement, also SET, the same proof; they give a new one to statements with an id now, as instances do. The case "value refused" takes ErrNotSent as well as ErrNoAnswer: nothing of the statement is sent any more, which is stricter.

--- a/conns/answers.go
+++ b/conns/answers.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// maxAnswers bounds the different answers of a connection that are remembered; a connection that has had them is replaced.
+	maxAnswers = 2000
+
 	// verdictAccepted means that an answer belongs to its statement.
 	verdictAccepted verdict = "Accepted"
 	// verdictRepeated means that an answer is an earlier one of the connection once more, so that the statement's own is still to come.
@@ -22,6 +25,8 @@
 	verdictState verdict = "State"
 	// verdictAmbiguous means that an answer without a proof may be an earlier one once more.
 	verdictAmbiguous verdict = "Ambiguous"
+	// verdictUnasked means that an answer came while none was due.
+	verdictUnasked verdict = "Unasked"
 )
 
 type (
@@ -73,6 +78,14 @@
 	}
 }
 
+// addState remembers a state that an instance told, and reports whether the connection had had the same one.
+func (a *answers) addState(state model.InstanceState) (had bool) {
+	hash := maphash.Comparable(a.seed, state)
+	_, had = a.whole[hash]
+	a.whole[hash] = struct{}{}
+	return had
+}
+
 // had reports whether the connection has had the same reply.
 func (a *answers) had(reply model.Reply) bool {
 	_, had := a.whole[a.hash(reply)]
@@ -87,6 +100,9 @@
 	return had
 }
 
+// full reports whether no more replies can be remembered.
+func (a *answers) full() bool { return len(a.whole) >= maxAnswers }
+
 // hash returns the hash of all parts of a reply that the instance sent.
 func (a *answers) hash(reply model.Reply) uint64 {
 	var h maphash.Hash
--- /dev/null
+++ b/conns/answers_test.go
@@ -0,0 +1,71 @@
+package conns
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/model"
+)
+
+func TestAnswersAreJudgedByWhatTheConnectionHasHad(t *testing.T) {
+	mark := model.Mark{Term: 1, Position: 7}
+	read := model.Reply{Rows: []string{"a"}, Proof: "p1", State: model.TxNone, Mark: mark}
+	begun := model.Reply{State: model.TxOpen, Mark: mark}
+	done := model.Reply{State: model.TxNone, Mark: mark}
+	for _, c := range []struct {
+		name  string
+		kind  model.CommandKind
+		state model.TxState
+		reply model.Reply
+		want  verdict
+	}{
+		{"a new proof", model.CommandRead, model.TxNone, model.Reply{Proof: "p2", State: model.TxNone}, verdictAccepted},
+		{"the answer before", model.CommandRead, model.TxNone, read, verdictRepeated},
+		{"the answer before, inside a transaction", model.CommandWrite, model.TxOpen, read, verdictRepeated},
+		{"the proof before with other rows", model.CommandRead, model.TxNone, model.Reply{Rows: []string{"b", "a"}, Proof: "p1", State: model.TxNone, Mark: mark}, verdictUsedProof},
+		{"the proof before with the same text in other rows", model.CommandRead, model.TxNone, model.Reply{Rows: []string{"a", ""}, Proof: "p1", State: model.TxNone, Mark: mark}, verdictUsedProof},
+		{"no proof of a write", model.CommandWrite, model.TxNone, done, verdictNoProof},
+		{"no proof of a commit", model.CommandCommit, model.TxOpen, done, verdictNoProof},
+		{"rows of a value", model.CommandSet, model.TxNone, model.Reply{Rows: []string{"a"}, State: model.TxNone}, verdictProof},
+		{"a proof of a value", model.CommandSet, model.TxNone, model.Reply{Proof: "p2", State: model.TxNone}, verdictProof},
+		{"a value set again", model.CommandSet, model.TxNone, done, verdictAccepted},
+		{"a value inside a transaction", model.CommandSet, model.TxOpen, begun, verdictAccepted},
+		{"a value that ends a transaction", model.CommandSet, model.TxOpen, done, verdictState},
+		{"a transaction begun", model.CommandBegin, model.TxNone, model.Reply{State: model.TxOpen, Mark: model.Mark{Term: 1, Position: 8}}, verdictAccepted},
+		{"a transaction begun as before", model.CommandBegin, model.TxNone, begun, verdictAmbiguous},
+		{"a transaction not begun", model.CommandBegin, model.TxNone, done, verdictState},
+		{"a read that opens a transaction", model.CommandRead, model.TxNone, model.Reply{Proof: "p2", State: model.TxOpen}, verdictState},
+		{"a commit that leaves the transaction open", model.CommandCommit, model.TxOpen, model.Reply{Proof: "p2", State: model.TxOpen}, verdictState},
+		{"a rollback", model.CommandRollback, model.TxOpen, done, verdictAccepted},
+		{"a fault", model.CommandWrite, model.TxNone, model.Reply{Fault: model.FaultBusy, State: model.TxNone}, verdictAccepted},
+		{"an unknown kind", "", model.TxNone, model.Reply{State: model.TxOpen}, verdictAccepted},
+		{"the answer before, unknown kind", "", model.TxNone, read, verdictRepeated},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := newAnswers()
+			for _, earlier := range []model.Reply{read, begun, done} {
+				a.add(earlier)
+			}
+			require.Equal(t, c.want, a.judge(model.Query{ID: "1", Kind: c.kind}, c.state, c.reply))
+		})
+	}
+}
+
+// TestConnectionIsReplacedBeforeItForgetsAnswers guards against a repetition that is older than what the connection remembers.
+func TestConnectionIsReplacedBeforeItForgetsAnswers(t *testing.T) {
+	c := newConn(&fakeInstanceConn{})
+	for n := range maxAnswers {
+		require.True(t, c.reusable(), n)
+		c.accept(model.Reply{Proof: fmt.Sprint(n), State: model.TxNone})
+	}
+	require.False(t, c.reusable())
+}
+
+// TestConnectionEndsWithItsFirstFault guards against a promise that an instance gave to an earlier statement of the connection.
+func TestConnectionEndsWithItsFirstFault(t *testing.T) {
+	c := newConn(&fakeInstanceConn{})
+	c.accept(model.Reply{Fault: model.FaultBusy, State: model.TxNone})
+	require.False(t, c.reusable())
+}
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -14,7 +14,7 @@
 // maxPrepared bounds the prepared statements of a connection; once it is reached, the connection is reset before its next statement.
 const maxPrepared = 200
 
-// errSetup reports that the instance refused a session value or a prepared statement; the outcome of the caller's statement is unknown.
+// errSetup reports that the instance refused a session value or a prepared statement.
 var errSetup = errors.New("the instance refused the values of the session")
 
 // Conn is a connection of a team to an instance, with the session values and prepared statements that are set on it.
@@ -33,7 +33,7 @@
 	// answers are those that the connection has had, and state is that of the transaction after the last one.
 	answers *answers
 	state   model.TxState
-	// onUnmatched, if set, is called with each answer that cannot be told to be the one to its query.
+	// onUnmatched, if set, is called with each answer that is not taken for the one to a query.
 	onUnmatched func(unmatched)
 	// onAnswer, if set, is called with each answer of the instance; work is set for a statement that reads or writes.
 	onAnswer func(now time.Time, instance model.InstanceName, work bool, reply model.Reply)
@@ -59,52 +59,85 @@
 // Break marks the connection as one that must not be used again.
 func (c *Conn) Break() { c.broken = true }
 
-// Status asks the instance for its state; an error other than a refusal breaks the connection.
+// reusable reports whether further statements may use the connection.
+func (c *Conn) reusable() bool { return !c.broken && c.state == model.TxNone && !c.answers.full() }
+
+// Status asks the instance for its state. After an error the connection is broken.
 func (c *Conn) Status(deadline time.Time) (model.InstanceState, error) {
+	if err := c.settle(); err != nil {
+		return model.InstanceState{}, err
+	}
 	state, err := c.instanceConn.Status(clock.Wall(deadline))
-	if _, refused := model.Refused(err); err != nil && !refused {
+	if err != nil {
 		c.broken = true
+		return state, err
+	}
+	if !c.answers.addState(state) {
+		return state, nil
+	}
+	return state, c.confirm(deadline)
+}
+
+// confirm makes sure that the last answer was not an earlier one once more: that to a statement which answers without rows must follow.
+func (c *Conn) confirm(deadline time.Time) error {
+	q := model.Query{Kind: model.CommandReset, Text: c.formatter.Reset()}
+	for name, value := range c.values {
+		q = model.Query{Kind: model.CommandSet, Text: c.formatter.Set(name, value)}
+		break
+	}
+	if q.Kind == model.CommandReset {
+		c.prepared = map[model.Prepared]string{}
+	}
+	_, err := c.exchange(deadline, q)
+	return err
+}
+
+// Setup sets the values of a session on the connection and, if p is set, prepares a statement. After an error the connection is broken, and nothing
+// of the session's statement was sent.
+func (c *Conn) Setup(deadline time.Time, values map[string]string, p *model.Prepared) error {
+	queries := c.setup(values, p)
+	if len(queries) == 0 {
+		return nil
+	}
+	replies, err := c.exchange(deadline, queries...)
+	if err != nil {
+		return errors.Mark(err, model.ErrNotSent)
+	}
+	for _, reply := range replies {
+		if reply.Fault != "" {
+			return errors.Mark(errors.Wrapf(errSetup, "%s %s", reply.Fault, reply.Detail), model.ErrNotSent)
+		}
 	}
-	return state, err
+	c.values = maps.Clone(values)
+	return nil
 }
 
 // Run sets the values of the session on the connection and runs one query.
 //
-// After model.ErrNoAnswer the query may or may not have run, and the connection is broken.
+// After model.ErrNoAnswer the query may or may not have run, and the connection is broken. After model.ErrNotSent it has not run.
 func (c *Conn) Run(deadline time.Time, values map[string]string, q model.Query) (model.Reply, error) {
-	return c.run(deadline, c.setup(values, nil), values, q)
+	if err := c.Setup(deadline, values, nil); err != nil {
+		return model.Reply{}, err
+	}
+	return c.run(deadline, q)
 }
 
 // Execute is Run for a prepared statement.
 func (c *Conn) Execute(deadline time.Time, values map[string]string, p model.Prepared, q model.Query, arguments string) (model.Reply, error) {
-	setup := c.setup(values, &p)
+	if err := c.Setup(deadline, values, &p); err != nil {
+		return model.Reply{}, err
+	}
 	q.Text = c.formatter.Execute(c.prepared[p], arguments)
-	return c.run(deadline, setup, values, q)
+	return c.run(deadline, q)
 }
 
-func (c *Conn) run(deadline time.Time, setup []model.Query, values map[string]string, q model.Query) (model.Reply, error) {
+func (c *Conn) run(deadline time.Time, q model.Query) (model.Reply, error) {
 	sentAt := clock.Now()
-	queries := append(setup, q)
-	replies, err := c.instanceConn.Exchange(clock.Wall(deadline), queries...)
+	replies, err := c.exchange(deadline, q)
 	if err != nil {
-		c.broken = true
 		return model.Reply{}, err
 	}
-	for n, reply := range replies {
-		c.observe(queries[n], reply)
-	}
-	for _, reply := range replies[:len(setup)] {
-		if reply.Fault != "" {
-			c.broken = true
-			return model.Reply{}, errors.Mark(errors.Wrapf(errSetup, "%s %s", reply.Fault, reply.Detail), model.ErrNoAnswer)
-		}
-	}
-	c.values = maps.Clone(values)
-	if replies[len(setup)].Fault == model.FaultNoStatement {
-		// The instance has dropped a statement that is recorded as prepared on the connection.
-		c.broken = true
-	}
-	reply := replies[len(setup)]
+	reply := replies[0]
 	now := clock.Now()
 	reply.Took = now.Sub(sentAt)
 	if c.onAnswer != nil {
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -30,7 +31,10 @@
 	var replies []model.Reply
 	for _, q := range queries {
 		f.sent = append(f.sent, q.Text)
-		reply := model.Reply{State: model.TxNone, Proof: "proof"}
+		reply := model.Reply{State: model.TxNone}
+		if q.ID != "" {
+			reply.Proof = fmt.Sprintf("proof %d", len(f.sent))
+		}
 		if f.answer != nil {
 			var err error
 			if reply, err = f.answer(q); err != nil {
@@ -42,6 +46,10 @@
 	return replies, nil
 }
 
+func (f *fakeInstanceConn) Receive(time.Time) (model.Reply, error) {
+	return model.Reply{}, model.ErrNoAnswer
+}
+
 func (f *fakeInstanceConn) Idle() bool { return !f.dead }
 
 func (f *fakeInstanceConn) Close() {
@@ -243,7 +251,7 @@
 }
 
 func newConn(conn *fakeInstanceConn) *Conn {
-	return &Conn{Instance: instance, Team: "a", instanceConn: conn, formatter: platform.StatementFormatter{}, prepared: map[model.Prepared]string{}}
+	return &Conn{Instance: instance, Team: "a", instanceConn: conn, formatter: platform.StatementFormatter{}, prepared: map[model.Prepared]string{}, answers: newAnswers(), state: model.TxNone}
 }
 
 func TestValuesOfOneSessionNeverReachAnother(t *testing.T) {
@@ -291,7 +299,7 @@
 			_, err := c.Run(clock.Now().Add(time.Second), map[string]string{"a": "b"}, model.Query{ID: "1", Text: "READ a"})
 			require.True(t, c.Broken())
 			if name != "unknown statement" {
-				require.True(t, errors.Is(err, model.ErrNoAnswer))
+				require.True(t, errors.Is(err, model.ErrNoAnswer) || errors.Is(err, model.ErrNotSent))
 			}
 		})
 	}
--- a/conns/pace_test.go
+++ b/conns/pace_test.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -55,7 +56,7 @@
 		defer mu.Unlock()
 		running--
 		served++
-		return model.Reply{Proof: "proof", State: model.TxNone}, nil
+		return model.Reply{Proof: fmt.Sprintf("proof %d", served), State: model.TxNone}, nil
 	}
 	p, d := newPool(20)
 	d.answer = answer
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -227,14 +227,14 @@
 	return err
 }
 
-// Put takes a connection back; it closes one that is broken or beyond the budget.
+// Put takes a connection back; it closes one that must not be used again or is beyond the budget.
 func (p *Pool) Put(now time.Time, c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.bucket(c.Instance)
 	c.usedAt = now
 	b.recordHold(now, c)
-	if c.broken || b.instance.Address != c.Instance.Address || b.open > p.config.Budget(b.instance) {
+	if !c.reusable() || b.instance.Address != c.Instance.Address || b.open > p.config.Budget(b.instance) {
 		c.instanceConn.Close()
 		b.open--
 	} else {
--- a/conns/unmatched.go
+++ b/conns/unmatched.go
@@ -2,7 +2,7 @@
 
 import "github.com/crocusshore/crocusshore/model"
 
-// unmatched describes an answer that cannot be told to be the one to its query.
+// unmatched describes an answer that was not taken for the one to a query.
 type unmatched struct {
 	conn    *Conn
 	query   model.Query
@@ -12,18 +12,6 @@
 	had int
 }
 
-// observe remembers a reply and reports it if it cannot be told to be the answer to a query.
-func (c *Conn) observe(q model.Query, reply model.Reply) {
-	if c.answers == nil {
-		return
-	}
-	if v := c.answers.judge(q, c.state, reply); v != verdictAccepted {
-		c.report(q, reply, v)
-	}
-	c.answers.add(reply)
-	c.state = reply.State
-}
-
 func (c *Conn) report(q model.Query, reply model.Reply, v verdict) {
 	if c.onUnmatched != nil {
 		c.onUnmatched(unmatched{conn: c, query: q, reply: reply, verdict: v, had: len(c.answers.whole)})
--- a/model/instanceconn.go
+++ b/model/instanceconn.go
@@ -11,6 +11,8 @@
 	ErrNoAnswer = errors.New("the connection ended before the answer")
 	// ErrNotSent reports that the instance received nothing of what was to be sent.
 	ErrNotSent = errors.New("nothing was sent to the instance")
+	// ErrUnmatched reports an answer that cannot be told from an earlier one of its connection, or that cannot be one to its statement.
+	ErrUnmatched = errors.New("the answer does not belong to the statement")
 	// ErrBadMessage reports a whole message of a caller that is none of the protocol; the following one can be read.
 	ErrBadMessage = errors.New("the message is not valid")
 	// ErrInterrupted reports that the wait for a caller's statement was interrupted.
@@ -63,6 +65,8 @@
 	InstanceConn interface {
 		// Exchange sends the queries in one write and returns their answers in order. After an error, each query without an answer may have run.
 		Exchange(deadline time.Time, queries ...Query) ([]Reply, error)
+		// Receive reads one more answer, in place of one that turned out to be a repetition.
+		Receive(deadline time.Time) (Reply, error)
 		// Idle reports whether the connection is open and nothing waits to be read.
 		Idle() bool
 		// Status asks the instance for its state.
--- a/model/pooledconn.go
+++ b/model/pooledconn.go
@@ -4,7 +4,10 @@
 
 // PooledConn is a connection of a team to an instance, owned by this VM or by another one; it is used by one goroutine at a time.
 type PooledConn interface {
-	// Run brings the connection to the values of the session and runs one query.
+	// Setup brings the connection to the values of the session and, if p is set, prepares a statement. A connection of another VM leaves that to
+	// its owner. After an error the connection is broken, and the statement must not be sent on it.
+	Setup(deadline time.Time, values map[string]string, p *Prepared) error
+	// Run runs one query, after Setup if the connection still needs it.
 	//
 	// ErrNotSent means that the instance received nothing. After ErrNoAnswer the query may or may not have run, and the connection is broken.
 	Run(deadline time.Time, values map[string]string, q Query) (Reply, error)
--- a/remote/conn.go
+++ b/remote/conn.go
@@ -31,6 +31,16 @@
 	// local is set after a switch of owners to this VM: a connection of this VM's own pool, which all later statements use.
 	local  *conns.Conn
 	broken bool
+	// ended is set if the owner has closed its connection to the instance; the stream to the owner may be used again.
+	ended bool
+}
+
+// Setup does nothing on a connection of another VM, which its owner sets up.
+func (c *Conn) Setup(deadline time.Time, values map[string]string, p *model.Prepared) error {
+	if c.local == nil {
+		return nil
+	}
+	return c.local.Setup(deadline, values, p)
 }
 
 // Run runs one query on the connection.
@@ -75,7 +85,7 @@
 }
 
 // Broken reports whether the connection must not be used again.
-func (c *Conn) Broken() bool { return c.broken || (c.local != nil && c.local.Broken()) }
+func (c *Conn) Broken() bool { return c.broken || c.ended || (c.local != nil && c.local.Broken()) }
 
 // Break marks the connection as one that must not be used again.
 func (c *Conn) Break() {
@@ -123,6 +133,7 @@
 		c.source.config.Client.markUnreachable(clock.Now(), c.owner)
 		return Answer{}, errors.Mark(errors.Mark(err, ErrOwnerNoAnswer), model.ErrNoAnswer)
 	}
+	c.ended = answer.Ended
 	return answer, c.failure(answer)
 }
 
@@ -153,6 +164,9 @@
 		return errors.Mark(&model.RefusedError{Fault: a.Fault, Detail: a.Detail}, model.ErrNotSent)
 	case FailureUnreachable:
 		return errors.Mark(errors.New(a.Detail), model.ErrNotSent)
+	case FailureUnmatched:
+		c.broken = true
+		return errors.Mark(errors.Mark(errors.New(a.Detail), model.ErrUnmatched), model.ErrNoAnswer)
 	default:
 		c.broken = true
 		return errors.Mark(errors.New(a.Detail), model.ErrNoAnswer)
--- a/remote/failing_test.go
+++ b/remote/failing_test.go
@@ -29,3 +29,24 @@
 	require.NoError(t, err, "status requests are sent, to find out whether it answers again")
 	require.Equal(t, model.RolePrimary, state.Role)
 }
+
+// TestTransactionThatFailedIsNotEndedOnAnotherConnection guards against a ROLLBACK that runs outside its transaction: the owner had closed the connection
+// of the transaction, and the VM that asked did not know it.
+func TestTransactionThatFailedIsNotEndedOnAnotherConnection(t *testing.T) {
+	owner, source := newTestOwner(t, 1)
+	c := get(t, source, time.Second)
+	_, err := c.Run(inOneSecond(), nil, model.Query{ID: "b", Kind: model.CommandBegin, Text: "BEGIN"})
+	require.NoError(t, err)
+	require.False(t, c.Broken())
+	ahead := model.Mark{Term: 1, Position: 99}
+	reply, err := c.Run(inOneSecond(), nil, model.Query{ID: "q", Kind: model.CommandRead, Text: "READ item", Since: ahead})
+	require.NoError(t, err)
+	require.Equal(t, model.FaultLagging, reply.Fault)
+	require.True(t, c.Broken())
+	used, _ := owner.pool.InUse("i-1")
+	require.Zero(t, used, "the connection was closed with its transaction")
+	source.Put(clock.Now(), c)
+	reply, err = get(t, source, time.Second).Run(inOneSecond(), nil, model.Query{ID: "r", Kind: model.CommandRead, Text: "READ item"})
+	require.NoError(t, err)
+	require.Empty(t, reply.Fault)
+}
--- a/remote/message.go
+++ b/remote/message.go
@@ -38,6 +38,8 @@
 		RetryAfter time.Duration
 		Reply      model.Reply
 		State      model.InstanceState
+		// Ended is set if the connection to the instance was closed, and with it an open transaction.
+		Ended bool
 	}
 
 	// Failure is the reason why there is no answer of the instance; it is empty if there is one.
@@ -59,4 +61,6 @@
 	FailureUnreachable Failure = "Unreachable"
 	// FailureNoAnswer means that the statement was sent and may have run.
 	FailureNoAnswer Failure = "NoAnswer"
+	// FailureUnmatched means that the statement was sent and may have run, and that what came may be the answer to an earlier one.
+	FailureUnmatched Failure = "Unmatched"
 )
--- a/remote/server.go
+++ b/remote/server.go
@@ -126,6 +126,7 @@
 		return notSent(err)
 	}
 	answer := s.run(now, conn, instance, r)
+	answer.Ended = conn.Broken()
 	if !conn.Broken() && s.staysOpen(answer) {
 		s.held = conn
 		return answer
@@ -157,7 +158,7 @@
 func notSent(err error) Answer {
 	refused, ok := model.Refused(err)
 	switch {
-	case errors.Is(err, conns.ErrBusy):
+	case errors.IsAny(err, conns.ErrBusy, model.ErrUnmatched):
 		return Answer{Failure: FailureBusy, Detail: err.Error(), RetryAfter: conns.RetryAfter(err)}
 	case ok:
 		return Answer{Failure: FailureRefused, Fault: refused.Fault, Detail: refused.Detail}
@@ -166,6 +167,18 @@
 	}
 }
 
+// noAnswer returns the answer to a request whose statement has no answer because of err.
+func noAnswer(err error) Answer {
+	switch {
+	case errors.Is(err, model.ErrNotSent):
+		return notSent(err)
+	case errors.Is(err, model.ErrUnmatched):
+		return Answer{Failure: FailureUnmatched, Detail: err.Error()}
+	default:
+		return Answer{Failure: FailureNoAnswer, Detail: err.Error()}
+	}
+}
+
 func (s *session) run(now time.Time, conn *conns.Conn, instance model.Instance, r Request) Answer {
 	deadline := now.Add(r.Limit)
 	if r.Status {
@@ -175,6 +188,10 @@
 		}
 		return Answer{State: state}
 	}
+	if err := conn.Setup(deadline, r.Values, r.Prepared); err != nil {
+		s.config.LocalVM.RecordFailure(instance.Name, err)
+		return notSent(err)
+	}
 	sentAt := clock.Now()
 	if r.Term > 0 {
 		done, ok := s.config.LocalVM.BeginPrimaryUse(sentAt, instance, r.Term)
@@ -186,7 +203,7 @@
 	reply, err := execute(conn, deadline, r)
 	if err != nil {
 		s.config.LocalVM.RecordFailure(instance.Name, err)
-		return Answer{Failure: FailureNoAnswer, Detail: err.Error()}
+		return noAnswer(err)
 	}
 	s.config.LocalVM.RecordAnswer(sentAt, instance, r, reply)
 	return Answer{Reply: reply}
--- a/serve/read.go
+++ b/serve/read.go
@@ -86,6 +86,10 @@
 		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
 	}
 	defer func() { c.server.config.Source.Put(clock.Now(), conn) }()
+	if err := c.setup(conn, c.attemptDeadline(clock.Now(), c.deadline(op)), s); err != nil {
+		c.server.trackFailure(to.instance.Name, err)
+		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
+	}
 	sentAt := clock.Now()
 	if to.primary && !c.server.config.Cache.LeaseValid(sentAt, to.lease) {
 		return attempt{err: errLease}
@@ -161,9 +165,9 @@
 }
 
 // showsFailure reports whether an error shows that an instance could not be reached or did not answer. A full pool does not, nor does a VM that owns
-// the connection and does not answer.
+// the connection and does not answer, nor an instance that answers twice.
 func showsFailure(err error) bool {
-	if err == nil || errors.IsAny(err, conns.ErrBusy, errRecentlyFailed, errLease, remote.ErrLease, remote.ErrOwnerNoAnswer) {
+	if err == nil || errors.IsAny(err, conns.ErrBusy, errRecentlyFailed, errLease, remote.ErrLease, remote.ErrOwnerNoAnswer, model.ErrUnmatched) {
 		return false
 	}
 	refused, ok := model.Refused(err)
--- a/serve/statement.go
+++ b/serve/statement.go
@@ -27,7 +27,12 @@
 	return s, ""
 }
 
-// send sets the session's values on a connection and runs the statement on it.
+// setup sets the session's values on a connection and prepares the statement, so that send sends nothing else. It comes before the check of a lease.
+func (c *callerSession) setup(conn model.PooledConn, deadline time.Time, s statement) error {
+	return conn.Setup(deadline, c.session.Values, s.prepared)
+}
+
+// send runs the statement on a connection.
 func (c *callerSession) send(conn model.PooledConn, deadline time.Time, s statement, since model.Mark) (model.Reply, error) {
 	query := model.Query{ID: s.command.ID, Kind: s.command.Kind, Text: s.command.Text, Since: since, Work: s.command.Kind != model.CommandCommit}
 	if s.prepared != nil {
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -67,6 +67,10 @@
 
 func (c *callerSession) sendInTransaction(deadline time.Time, s statement) model.Reply {
 	step := sess.Step{Kind: sess.StepInTransaction, Wrote: c.tx.wrote}
+	if err := c.setup(c.tx.conn, deadline, s); err != nil {
+		c.server.trackFailure(c.tx.target.instance.Name, err)
+		return model.Reply{Fault: model.FaultAborted, Detail: "the instance did not take the values of the session"}
+	}
 	sentAt := clock.Now()
 	if c.tx.target.primary && !c.server.config.Cache.LeaseValid(sentAt, c.tx.target.lease) {
 		return model.Reply{Fault: model.FaultAborted, Detail: "the primary is being replaced"}
@@ -134,6 +138,11 @@
 		c.server.trackFailure(to.instance.Name, err)
 		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
 	}
+	if err := conn.Setup(c.attemptDeadline(clock.Now(), c.deadline(op)), c.session.Values, nil); err != nil {
+		c.server.trackFailure(to.instance.Name, err)
+		c.server.config.Source.Put(clock.Now(), conn)
+		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
+	}
 	sentAt := clock.Now()
 	if to.primary && !c.server.config.Cache.LeaseValid(sentAt, to.lease) {
 		c.server.config.Source.Put(sentAt, conn)
--- a/serve/write.go
+++ b/serve/write.go
@@ -65,6 +65,10 @@
 	group := op.route.Group
 	c.server.inflight.add(group, 1)
 	defer c.server.inflight.add(group, -1)
+	if err := c.setup(conn, deadline, s); err != nil {
+		c.server.trackFailure(to.instance.Name, err)
+		return model.Reply{}, err
+	}
 	settled := true
 	if step.MayCommit() {
 		c.server.sent.begin(group)
