A transaction whose BEGIN is uncertain is opened on another connection at once

While the log of an instance stands still, the answer to BEGIN is the same as the one before on that connection, and cannot be told from it. It tries another connection at once now, and a stream to the VM that owns the connection is kept. The log line says that an answer was not accepted: it may belong to its statement nevertheless.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -30,7 +30,7 @@
 		Formatter model.StatementFormatter
 		// Budget returns how many connections this VM may hold to an instance.
 		Budget func(instance model.Instance) int
-		// Log and Metrics, if set, receive the answers of instances that do not belong to their statements.
+		// Log and Metrics, if set, receive the answers of instances that were not accepted.
 		Log     *log.Logger
 		Metrics tally.Scope
 	}
--- a/conns/unmatched.go
+++ b/conns/unmatched.go
@@ -18,10 +18,10 @@
 	}
 }
 
-// recordUnmatched logs and counts an answer that does not belong to its statement.
+// recordUnmatched logs and counts an answer that was not accepted.
 func (p *Pool) recordUnmatched(u unmatched) {
 	p.config.Metrics.Tagged(map[string]string{"verdict": string(u.verdict)}).Counter("unmatched_answers").Inc(1)
-	p.config.Log.Warn("answer does not belong to its statement", "verdict", u.verdict, "instance", u.conn.Instance.Name, "team", u.conn.Team,
+	p.config.Log.Warn("answer not accepted", "verdict", u.verdict, "instance", u.conn.Instance.Name, "team", u.conn.Team,
 		"id", u.query.ID, "kind", u.query.Kind, "rows", len(u.reply.Rows), "fault", u.reply.Fault, "state", u.reply.State, "mark", u.reply.Mark,
 		"earlier-answers", u.had)
 }
--- a/model/instanceconn.go
+++ b/model/instanceconn.go
@@ -11,8 +11,8 @@
 	ErrNoAnswer = errors.New("the connection ended before the answer")
 	// ErrNotSent reports that the instance received nothing of what was to be sent.
 	ErrNotSent = errors.New("nothing was sent to the instance")
-	// ErrUnmatched reports an answer that cannot be told from an earlier one of its connection, or that cannot be one to its statement.
-	ErrUnmatched = errors.New("the answer does not belong to the statement")
+	// ErrUnmatched reports an answer that may be an earlier one of its connection once more, or cannot be the one to its statement.
+	ErrUnmatched = errors.New("the answer is not certainly that of the statement")
 	// ErrBadMessage reports a whole message of a caller that is none of the protocol; the following one can be read.
 	ErrBadMessage = errors.New("the message is not valid")
 	// ErrInterrupted reports that the wait for a caller's statement was interrupted.
--- a/remote/conn.go
+++ b/remote/conn.go
@@ -165,7 +165,6 @@
 	case FailureUnreachable:
 		return errors.Mark(errors.New(a.Detail), model.ErrNotSent)
 	case FailureUnmatched:
-		c.broken = true
 		return errors.Mark(errors.Mark(errors.New(a.Detail), model.ErrUnmatched), model.ErrNoAnswer)
 	default:
 		c.broken = true
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -127,7 +127,16 @@
 	return to, refusal, found && !tried[to.instance.Name]
 }
 
+// tryBegin opens the transaction on an instance. If the answer on one connection is uncertain, which ends that connection, it tries another one.
 func (c *callerSession) tryBegin(op operation, to target) attempt {
+	last := c.beginOnce(op, to)
+	if errors.Is(last.err, model.ErrUnmatched) {
+		last = c.beginOnce(op, to)
+	}
+	return last
+}
+
+func (c *callerSession) beginOnce(op operation, to target) attempt {
 	now := clock.Now()
 	until := c.left(op).LatestStart()
 	if c.tx.readOnly {
