Stand-in of an instance: framing of its own, statements byte for byte, answer faults

The stand-in shared the proxy's line reader and formatter, so both agreed on a fault of it. It reads and writes messages with code written from the users' page now: a message ends at CR LF and nowhere else, its content passes unchanged, more than 1 MiB or an end inside a message ends the connection. It shares only the words and the constants for them. stand takes statements apart with the last field extending to the end of the text; an unknown prepared name gives NOSTMT, DEALLOC and RESET drop names, a malformed or unknown statement gives BADMSG. A transaction that failed stays failed: it took further statements and its COMMIT kept the writes before; now all but COMMIT and ROLLBACK get BADMSG, and its COMMIT rolls back and gets FAILED.

Answer faults, off by default, per instance and drawn from stand.ClusterConfig.Seed:

cluster.SetFaults(name, stand.DatabaseFaults{Answers: stand.AnswerFaults{ Repeated: 0.02, RepeatWithin: 300 * time.Millisecond, Cut: 0.01, Delayed: 0.05, DelayWithin: 100 * time.Millisecond, RefusedSets: 0.01, }})

The connections of a cluster implement platform.AnswerPlanner, and ServeInstanceConn asks them for each answer. A connection that embeds a model.InstanceConn, as soak's checkedConn does, has to pass the plan on, or it sends everything once:

func (c *checkedConn) PlanAnswer() platform.AnswerPlan { return platform.PlanAnswer(c.InstanceConn) }

AnswerPlan lives in model, with a name in platform: stand needs it and cannot import platform, whose own tests import stand.

--- a/stand/cluster.go
+++ b/stand/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 		FollowDelay time.Duration
 		// ServiceTime is how long a statement of a caller occupies a slot; with 0, statements occupy no slots.
 		ServiceTime time.Duration
+		// Seed seeds the random source of answer faults; nothing is drawn from it without them.
+		Seed uint64
 	}
 
 	// Cluster stands in for the instances of a group and for the platform's orders of new primaries; it is safe for concurrent use.
@@ -36,6 +39,8 @@
 
 		mu        sync.Mutex
 		databases map[model.InstanceName]*database
+		// random is the source of all answer faults.
+		random *rand.Rand
 		// fencingToken is the highest fencing token of an order.
 		fencingToken int64
 		// acked holds the log positions of the commits that an instance acknowledged.
@@ -78,6 +83,8 @@
 		Down, Unresponsive, NoReplication bool
 		// With LoseAnswers, the instance runs the statements of callers and does not answer them.
 		LoseAnswers bool
+		// Answers describes what the instance does to the answers that it sends.
+		Answers AnswerFaults
 	}
 
 	// LateCommit is a commit that an instance made after a promotion had replaced it, and acknowledged.
@@ -101,7 +108,7 @@
 func NewCluster(config ClusterConfig) *Cluster {
 	c := &Cluster{
 		config: config, databases: map[model.InstanceName]*database{}, acked: map[model.RequestID]model.Mark{},
-		ackedAt: map[model.RequestID]time.Time{},
+		ackedAt: map[model.RequestID]time.Time{}, random: newAnswerRandom(config.Seed),
 	}
 	for _, instance := range config.Instances {
 		c.databases[instance.Name] = &database{instance: instance, term: 1}
--- a/stand/clusterconn.go
+++ b/stand/clusterconn.go
@@ -1,7 +1,6 @@
 package stand
 
 import (
-	"strconv"
 	"strings"
 	"time"
 
@@ -21,15 +20,14 @@
 	inTransaction bool
 	readOnly      bool
 	txTerm        model.Term
+	// failed is true once a statement of the transaction has failed; the transaction can only be ended then, which rolls it back.
+	failed bool
 	// writes holds the uncommitted writes.
 	writes []write
 	// prepared holds the first word, READ or WRITE, of each prepared statement.
 	prepared map[string]string
 }
 
-// provenStatements holds the first words of the statements whose success carries a proof.
-var provenStatements = map[string]bool{"READ": true, "WRITE": true, "EXEC": true, "COMMIT": true}
-
 // syncPollInterval is the interval at which a commit checks whether a replica has received it.
 const syncPollInterval = time.Millisecond
 
@@ -52,16 +50,9 @@
 }
 
 func (c *clusterConn) run(deadline time.Time, q model.Query) (model.Reply, error) {
-	c.cluster.mu.Lock()
-	faults, generation := c.database.faults, c.database.generation
-	if c.closed || faults.Down || generation != c.generation {
-		c.cluster.mu.Unlock()
-		return model.Reply{}, model.ErrNoAnswer
-	}
-	if faults.Unresponsive {
-		c.cluster.mu.Unlock()
-		time.Sleep(time.Until(deadline))
-		return model.Reply{}, model.ErrNoAnswer
+	faults, err := c.lockRunning(deadline)
+	if err != nil {
+		return model.Reply{}, err
 	}
 	if !c.occupySlot(q) {
 		busy := c.fault(model.FaultBusy)
@@ -81,6 +72,22 @@
 	return reply, nil
 }
 
+// lockRunning locks the cluster and returns the faults of the instance. It returns an error, without the lock, if the instance answers nothing.
+func (c *clusterConn) lockRunning(deadline time.Time) (DatabaseFaults, error) {
+	c.cluster.mu.Lock()
+	faults, generation := c.database.faults, c.database.generation
+	if c.closed || faults.Down || generation != c.generation {
+		c.cluster.mu.Unlock()
+		return faults, model.ErrNoAnswer
+	}
+	if faults.Unresponsive {
+		c.cluster.mu.Unlock()
+		time.Sleep(time.Until(deadline))
+		return faults, model.ErrNoAnswer
+	}
+	return faults, nil
+}
+
 // occupySlot occupies a slot for the service time and reports whether one was free. The caller holds the lock, which occupySlot releases
 // during the service time.
 func (c *clusterConn) occupySlot(q model.Query) bool {
@@ -120,96 +127,15 @@
 	return false
 }
 
-// execute runs one query under the lock. It also returns the position that a replica has to receive before the answer is sent, if any.
-func (c *clusterConn) execute(q model.Query) (model.Reply, model.Mark) {
-	d := c.database
-	words := strings.SplitN(q.Text, " ", 4)
-	if q.Since != (model.Mark{}) && d.end().Before(q.Since) {
-		return c.fault(model.FaultLagging), model.Mark{}
-	}
-	readWrite := c.inTransaction && !c.readOnly
-	if readWrite && words[0] != "ROLLBACK" && (d.instance.Role != model.RolePrimary || d.term != c.txTerm) {
-		return c.fault(model.FaultReadOnly), model.Mark{}
-	}
-	switch words[0] {
-	case "COMMIT":
-		return c.commit()
-	case "WRITE":
-		return c.write(q.ID, words[1], words[2])
-	case "EXEC":
-		return c.executePrepared(q.ID, words)
-	default:
-		return c.executeWithoutCommit(words), model.Mark{}
-	}
-}
-
-// executeWithoutCommit runs a statement that never adds to the log.
-func (c *clusterConn) executeWithoutCommit(words []string) model.Reply {
-	switch words[0] {
-	case "BEGIN":
-		return c.begin(len(words) > 1)
-	case "ROLLBACK":
-		c.inTransaction, c.writes = false, nil
-	case "READ":
-		return c.read(words[1])
-	case "PREPARE":
-		if c.prepared == nil {
-			c.prepared = map[string]string{}
-		}
-		c.prepared[words[1]] = words[2]
-	}
-	return c.success()
-}
-
-func (c *clusterConn) executePrepared(id model.RequestID, words []string) (model.Reply, model.Mark) {
-	if c.prepared[words[1]] == "WRITE" {
-		return c.write(id, words[2], words[3])
-	}
-	return c.read(words[2]), model.Mark{}
-}
-
-func (c *clusterConn) begin(readOnly bool) model.Reply {
-	if !readOnly && c.database.instance.Role != model.RolePrimary {
-		return c.fault(model.FaultReadOnly)
-	}
-	c.inTransaction, c.readOnly, c.txTerm = true, readOnly, c.database.term
-	return c.success()
-}
-
-func (c *clusterConn) read(item string) model.Reply {
-	reply := c.success()
-	reply.Rows = []string{c.database.log.value(item)}
-	return reply
-}
-
-func (c *clusterConn) write(id model.RequestID, item, data string) (model.Reply, model.Mark) {
-	if c.database.instance.Role != model.RolePrimary {
-		return c.fault(model.FaultReadOnly), model.Mark{}
-	}
-	c.writes = append(c.writes, write{id: id, item: item, data: data})
-	if c.inTransaction {
-		return c.success(), model.Mark{}
-	}
-	return c.commit()
-}
-
-func (c *clusterConn) commit() (model.Reply, model.Mark) {
-	c.inTransaction = false
-	if len(c.writes) == 0 {
-		return c.success(), model.Mark{}
-	}
-	d := c.database
-	mark := model.Mark{Term: d.term, Position: d.end().Position + 1}
-	d.log.add(commit{mark: mark, writes: c.writes, at: time.Now()})
-	c.writes = nil
-	return c.success(), mark
-}
-
 func (c *clusterConn) state() model.TxState {
-	if c.inTransaction {
+	switch {
+	case c.failed:
+		return model.TxFailed
+	case c.inTransaction:
 		return model.TxOpen
+	default:
+		return model.TxNone
 	}
-	return model.TxNone
 }
 
 func (c *clusterConn) success() model.Reply {
@@ -230,12 +156,10 @@
 	return model.Mark{Term: max(c.database.term, c.database.end().Term), Position: c.database.end().Position}
 }
 
+// fault returns an answer with a fault, which fails an open transaction.
 func (c *clusterConn) fault(fault model.Fault) model.Reply {
-	state := c.state()
-	if c.inTransaction {
-		state = model.TxFailed
-	}
-	return model.Reply{Fault: fault, State: state, Mark: c.database.end()}
+	c.failed = c.inTransaction
+	return model.Reply{Fault: fault, State: c.state(), Mark: c.database.end()}
 }
 
 // Idle reports whether the connection is open.
@@ -285,10 +209,9 @@
 
 // control applies a change to the instance under the lock and returns the state after it.
 func (c *clusterConn) control(deadline time.Time, change func(*database)) (model.InstanceState, error) {
-	if _, err := c.run(deadline, model.Query{Text: "STATUS " + strconv.Itoa(c.generation)}); err != nil {
+	if _, err := c.lockRunning(deadline); err != nil {
 		return model.InstanceState{}, err
 	}
-	c.cluster.mu.Lock()
 	defer c.cluster.mu.Unlock()
 	d := c.database
 	change(d)
