--- a/conns/answers.go
+++ b/conns/answers.go
@@ -10,21 +10,20 @@
 
 const (
 	// maxAnswers bounds the different answers of a connection that are remembered; a connection that has had them is replaced.
-	maxAnswers = 2000
+	maxAnswers = 1000
 
-	// verdictAccepted means that an answer belongs to its statement.
+	// verdictAccepted means that an answer is that of its statement.
 	verdictAccepted verdict = "Accepted"
-	// verdictRepeated means that an answer is an earlier one of the connection once more, so that the statement's own is still to come.
+	// verdictRepeated means that an answer is an earlier one of the connection once more, and cannot be that of the statement, which is still to come.
 	verdictRepeated verdict = "Repeated"
-	// verdictUsedProof means that an answer has the proof of an earlier one but is another answer.
-	verdictUsedProof verdict = "UsedProof"
-	// verdictNoProof means that a success lacks the proof that its statement requires, and verdictProof that it has one that no instance gives.
-	verdictNoProof verdict = "NoProof"
-	verdictProof   verdict = "Proof"
+	// verdictAmbiguous means that an answer may be that of the statement or an earlier one once more.
+	verdictAmbiguous verdict = "Ambiguous"
+	// verdictProof means that a success has no proof although its statement requires one, or the proof of another answer.
+	verdictProof verdict = "Proof"
+	// verdictRows means that a success has rows that its statement does not give, or lacks those that it gives.
+	verdictRows verdict = "Rows"
 	// verdictState means that the state of the transaction does not follow from the statement.
 	verdictState verdict = "State"
-	// verdictAmbiguous means that an answer without a proof may be an earlier one once more.
-	verdictAmbiguous verdict = "Ambiguous"
 	// verdictUnasked means that an answer came while none was due.
 	verdictUnasked verdict = "Unasked"
 )
@@ -35,73 +34,105 @@
 
 	// answers remembers what an instance has answered on a connection. Only an answer that is none of these is certainly no repetition.
 	answers struct {
-		seed   maphash.Seed
-		whole  map[uint64]struct{}
-		proofs map[uint64]struct{}
+		seed maphash.Seed
+		// had holds the hash of each whole answer, by that of its proof or, without one, by itself.
+		had map[uint64]uint64
+		// uncertain is set after an accepted answer that may have been an earlier one once more: the statement's own may still come, and may be a fault.
+		uncertain bool
 	}
 )
 
 func newAnswers() *answers {
-	return &answers{seed: maphash.MakeSeed(), whole: map[uint64]struct{}{}, proofs: map[uint64]struct{}{}}
+	return &answers{seed: maphash.MakeSeed(), had: map[uint64]uint64{}}
 }
 
-// judge tells whether a reply is the answer to a query that was sent in a transaction state. A fault is taken for the answer: a connection ends
-// with its first fault, so that it cannot be a repetition.
+// judge tells whether a reply is the answer to a query that was sent in a transaction state. A connection ends with its first fault, so that a fault
+// cannot be an earlier one.
 func (a *answers) judge(q model.Query, state model.TxState, reply model.Reply) verdict {
+	possible := a.possible(q, state, reply)
 	switch {
+	case reply.Fault != "" && a.uncertain:
+		return verdictAmbiguous
 	case reply.Fault != "":
 		return verdictAccepted
-	case a.hadProof(reply) && a.had(reply):
+	case possible != verdictAccepted && a.hadWhole(reply):
 		return verdictRepeated
-	case a.hadProof(reply):
-		return verdictUsedProof
-	case q.Kind == "":
-		return verdictAccepted
-	case q.Kind.GivesProof() && reply.Proof == "":
-		return verdictNoProof
-	case !q.Kind.GivesProof() && (reply.Proof != "" || len(reply.Rows) > 0):
+	case mustBeNew(q.Kind) && a.hadWhole(reply):
+		return verdictAmbiguous
+	default:
+		return possible
+	}
+}
+
+// possible tells whether a success can be that of a query, and if not, why.
+func (a *answers) possible(q model.Query, state model.TxState, reply model.Reply) verdict {
+	switch {
+	case a.hadProof(reply) || (q.Kind.GivesProof() && reply.Proof == ""):
 		return verdictProof
+	case !mayHaveRows(q.Kind, len(reply.Rows)):
+		return verdictRows
 	case reply.State != q.Kind.StateAfter(state):
 		return verdictState
-	case q.Kind == model.CommandBegin && a.had(reply):
-		return verdictAmbiguous
 	default:
 		return verdictAccepted
 	}
 }
 
-// add remembers a reply that was accepted.
-func (a *answers) add(reply model.Reply) {
-	a.whole[a.hash(reply)] = struct{}{}
-	if reply.Proof != "" {
-		a.proofs[maphash.String(a.seed, reply.Proof)] = struct{}{}
+// mustBeNew reports whether a success of a kind of statement counts only if the connection has not had the same answer. Where it does not, a repetition
+// shows at the next statement that needs a proof.
+func mustBeNew(kind model.CommandKind) bool {
+	return kind == model.CommandBegin || kind == model.CommandStatus
+}
+
+// mayHaveRows reports whether a success of a kind of statement may have a number of rows.
+func mayHaveRows(kind model.CommandKind, count int) bool {
+	switch {
+	case kind == model.CommandStatus:
+		return count == 1
+	case kind.GivesProof():
+		return true
+	default:
+		return count == 0
 	}
 }
 
-// addState remembers a state that an instance told, and reports whether the connection had had the same one.
-func (a *answers) addState(state model.InstanceState) (had bool) {
-	hash := maphash.Comparable(a.seed, state)
-	_, had = a.whole[hash]
-	a.whole[hash] = struct{}{}
-	return had
+// add remembers a reply that was accepted as the answer to a query.
+func (a *answers) add(q model.Query, reply model.Reply) {
+	switch {
+	case reply.Proof != "", mustBeNew(q.Kind):
+		a.uncertain = false
+	case a.hadWhole(reply):
+		a.uncertain = true
+	}
+	whole := a.hash(reply)
+	if reply.Proof != "" {
+		a.had[maphash.String(a.seed, reply.Proof)] = whole
+		return
+	}
+	a.had[whole] = whole
 }
 
-// had reports whether the connection has had the same reply.
-func (a *answers) had(reply model.Reply) bool {
-	_, had := a.whole[a.hash(reply)]
-	return had
+// hadWhole reports whether the connection has had the same reply.
+func (a *answers) hadWhole(reply model.Reply) bool {
+	whole := a.hash(reply)
+	key := whole
+	if reply.Proof != "" {
+		key = maphash.String(a.seed, reply.Proof)
+	}
+	had, known := a.had[key]
+	return known && had == whole
 }
 
 func (a *answers) hadProof(reply model.Reply) bool {
 	if reply.Proof == "" {
 		return false
 	}
-	_, had := a.proofs[maphash.String(a.seed, reply.Proof)]
+	_, had := a.had[maphash.String(a.seed, reply.Proof)]
 	return had
 }
 
 // full reports whether no more replies can be remembered.
-func (a *answers) full() bool { return len(a.whole) >= maxAnswers }
+func (a *answers) full() bool { return len(a.had) >= maxAnswers }
 
 // hash returns the hash of all parts of a reply that the instance sent.
 func (a *answers) hash(reply model.Reply) uint64 {
--- a/conns/bucket.go
+++ b/conns/bucket.go
@@ -66,7 +66,7 @@
 // take grants an idle connection of the team, preferably one with the same session values, or the permission to open one. It reports
 // whether it granted anything.
 func (b *bucket) take(now time.Time, request Request, budget int) (grant, bool) {
-	for {
+	for !request.New {
 		at := b.bestIdle(request)
 		if at < 0 {
 			break
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -14,9 +14,6 @@
 // maxPrepared bounds the prepared statements of a connection; once it is reached, the connection is reset before its next statement.
 const maxPrepared = 200
 
-// errSetup reports that the instance refused a session value or a prepared statement.
-var errSetup = errors.New("the instance refused the values of the session")
-
 // Conn is a connection of a team to an instance, with the session values and prepared statements that are set on it.
 type Conn struct {
 	Instance model.Instance
@@ -60,41 +57,37 @@
 func (c *Conn) Break() { c.broken = true }
 
 // reusable reports whether further statements may use the connection.
-func (c *Conn) reusable() bool { return !c.broken && c.state == model.TxNone && !c.answers.full() }
+func (c *Conn) reusable() bool {
+	return !c.broken && c.state == model.TxNone && !c.answers.uncertain && !c.answers.full()
+}
 
 // Status asks the instance for its state. After an error the connection is broken.
 func (c *Conn) Status(deadline time.Time) (model.InstanceState, error) {
-	if err := c.settle(); err != nil {
+	if err := c.settle(deadline); err != nil {
 		return model.InstanceState{}, err
 	}
-	state, err := c.instanceConn.Status(clock.Wall(deadline))
+	replies, err := c.exchange(deadline, model.Query{Kind: model.CommandStatus, Text: c.formatter.Status()})
 	if err != nil {
-		c.broken = true
-		return state, err
-	}
-	if !c.answers.addState(state) {
-		return state, nil
+		return model.InstanceState{}, err
 	}
-	return state, c.confirm(deadline)
-}
-
-// confirm makes sure that the last answer was not an earlier one once more: that to a statement which answers without rows must follow.
-func (c *Conn) confirm(deadline time.Time) error {
-	q := model.Query{Kind: model.CommandReset, Text: c.formatter.Reset()}
-	for name, value := range c.values {
-		q = model.Query{Kind: model.CommandSet, Text: c.formatter.Set(name, value)}
-		break
+	if reply := replies[0]; reply.Fault != "" {
+		return model.InstanceState{}, &model.RefusedError{Fault: reply.Fault, Detail: reply.Detail}
 	}
-	if q.Kind == model.CommandReset {
-		c.prepared = map[model.Prepared]string{}
+	state, err := c.formatter.ParseState(replies[0].Rows[0])
+	if err != nil {
+		c.broken = true
+		return state, errors.Mark(err, model.ErrUnmatched)
 	}
-	_, err := c.exchange(deadline, q)
-	return err
+	return state, nil
 }
 
-// Setup sets the values of a session on the connection and, if p is set, prepares a statement. After an error the connection is broken, and nothing
-// of the session's statement was sent.
+// Setup drops repetitions of earlier answers that have arrived, sets the values of a session on the connection and, if p is set, prepares a statement,
+// so that Run and Execute send nothing else. After an error the connection is broken, and nothing of the session's statement was sent; the error is
+// a *model.RefusedError if the instance refuses a value or the statement.
 func (c *Conn) Setup(deadline time.Time, values map[string]string, p *model.Prepared) error {
+	if err := c.settle(deadline); err != nil {
+		return err
+	}
 	queries := c.setup(values, p)
 	if len(queries) == 0 {
 		return nil
@@ -105,29 +98,27 @@
 	}
 	for _, reply := range replies {
 		if reply.Fault != "" {
-			return errors.Mark(errors.Wrapf(errSetup, "%s %s", reply.Fault, reply.Detail), model.ErrNotSent)
+			return errors.Mark(&model.RefusedError{Fault: reply.Fault, Detail: reply.Detail}, model.ErrNotSent)
 		}
 	}
 	c.values = maps.Clone(values)
 	return nil
 }
 
-// Run sets the values of the session on the connection and runs one query.
+// Run runs one query; Setup comes before it.
 //
-// After model.ErrNoAnswer the query may or may not have run, and the connection is broken. After model.ErrNotSent it has not run.
-func (c *Conn) Run(deadline time.Time, values map[string]string, q model.Query) (model.Reply, error) {
-	if err := c.Setup(deadline, values, nil); err != nil {
-		return model.Reply{}, err
-	}
+// After model.ErrNoAnswer the query may or may not have run, and the connection is broken.
+func (c *Conn) Run(deadline time.Time, _ map[string]string, q model.Query) (model.Reply, error) {
 	return c.run(deadline, q)
 }
 
 // Execute is Run for a prepared statement.
-func (c *Conn) Execute(deadline time.Time, values map[string]string, p model.Prepared, q model.Query, arguments string) (model.Reply, error) {
-	if err := c.Setup(deadline, values, &p); err != nil {
-		return model.Reply{}, err
+func (c *Conn) Execute(deadline time.Time, _ map[string]string, p model.Prepared, q model.Query, arguments string) (model.Reply, error) {
+	name, prepared := c.prepared[p]
+	if !prepared {
+		return model.Reply{}, errors.Mark(errors.New("the statement is not prepared on the connection"), model.ErrNotSent)
 	}
-	q.Text = c.formatter.Execute(c.prepared[p], arguments)
+	q.Text = c.formatter.Execute(name, arguments)
 	return c.run(deadline, q)
 }
 
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -172,9 +172,9 @@
 	fake := &fakeInstanceConn{}
 	c := newConn(fake)
 	deadline := clock.Now().Add(time.Second)
-	read := model.Query{ID: "1", Text: "READ a"}
+	read := model.Query{ID: "1", Kind: model.CommandRead, Text: "READ a"}
 	for _, values := range []map[string]string{{"zone": "x"}, {"zone": "x"}, {"zone": "y"}, {}} {
-		_, err := c.Run(deadline, values, read)
+		_, err := setupAndRun(c, deadline, values, read)
 		require.NoError(t, err)
 	}
 	require.Equal(t, []string{"SET zone x", "READ a", "READ a", "SET zone y", "READ a", "RESET", "READ a"}, fake.sent)
@@ -186,13 +186,15 @@
 	deadline := clock.Now().Add(time.Second)
 	read, write := model.Prepared{Shape: "q"}, model.Prepared{Shape: "q", Write: true}
 	for _, p := range []model.Prepared{read, write, read} {
-		_, err := c.Execute(deadline, nil, p, model.Query{ID: "1"}, "item")
+		require.NoError(t, c.Setup(deadline, nil, &p))
+		_, err := c.Execute(deadline, nil, p, model.Query{ID: "1", Kind: model.CommandExecute}, "item")
 		require.NoError(t, err)
 	}
 	require.Equal(t, []string{"PREPARE p1 READ q", "EXEC p1 item", "PREPARE p2 WRITE q", "EXEC p2 item", "EXEC p1 item"}, fake.sent)
-	_, err := c.Run(deadline, map[string]string{"a": "b"}, model.Query{ID: "1", Text: "READ a"})
+	_, err := setupAndRun(c, deadline, map[string]string{"a": "b"}, model.Query{ID: "1", Kind: model.CommandRead, Text: "READ a"})
 	require.NoError(t, err)
-	_, err = c.Execute(deadline, nil, read, model.Query{ID: "1"}, "item")
+	require.NoError(t, c.Setup(deadline, nil, &read))
+	_, err = c.Execute(deadline, nil, read, model.Query{ID: "1", Kind: model.CommandExecute}, "item")
 	require.NoError(t, err)
 	require.Equal(t, []string{"RESET", "PREPARE p3 READ q", "EXEC p3 item"}, fake.sent[len(fake.sent)-3:], "a reset drops prepared statements")
 }
@@ -210,7 +212,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newConn(&fakeInstanceConn{answer: answer})
-			_, err := c.Run(clock.Now().Add(time.Second), map[string]string{"a": "b"}, model.Query{ID: "1", Text: "READ a"})
+			_, err := setupAndRun(c, clock.Now().Add(time.Second), map[string]string{"a": "b"}, model.Query{ID: "1", Kind: model.CommandRead, Text: "READ a"})
 			require.True(t, c.Broken())
 			if name != "unknown statement" {
 				require.True(t, errors.Is(err, model.ErrNoAnswer) || errors.Is(err, model.ErrNotSent))
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -12,12 +12,12 @@
 // arrivedTimeout bounds the read of an answer that had begun to arrive while none was due.
 const arrivedTimeout = 50 * time.Millisecond
 
-// exchange runs queries and returns their answers. A fault ends the connection, as does an answer that cannot be told to be the one to its query,
+// errSettle reports that the time of a statement ended while answers arrived that nothing had asked for.
+var errSettle = errors.Mark(errors.New("the instance answers without being asked"), model.ErrUnmatched)
+
+// exchange runs queries and returns their answers. A fault ends the connection, as does an answer that is not certainly the one to its query,
 // which gives an error.
 func (c *Conn) exchange(deadline time.Time, queries ...model.Query) ([]model.Reply, error) {
-	if err := c.settle(); err != nil {
-		return nil, err
-	}
 	received, err := c.instanceConn.Exchange(clock.Wall(deadline), queries...)
 	if err != nil {
 		c.broken = true
@@ -29,18 +29,20 @@
 // match returns the answers to queries of which as many answers were received. It reads a further one for each that is a repetition.
 func (c *Conn) match(deadline time.Time, queries []model.Query, received []model.Reply) ([]model.Reply, error) {
 	replies := make([]model.Reply, 0, len(queries))
+	repeated := false
 	for len(replies) < len(queries) {
 		reply, err := c.next(deadline, &received)
 		if err != nil {
 			c.broken = true
-			return nil, err
+			return nil, unanswered(err, repeated)
 		}
 		q := queries[len(replies)]
 		switch v := c.answers.judge(q, c.state, reply); v {
 		case verdictAccepted:
-			c.accept(reply)
+			c.accept(q, reply)
 			replies = append(replies, reply)
 		case verdictRepeated:
+			repeated = true
 			c.report(q, reply, v)
 		default:
 			c.broken = true
@@ -51,6 +53,15 @@
 	return replies, nil
 }
 
+// unanswered returns the error of a query without an answer. Once an answer was dropped as a repetition, it is no evidence against the instance: the
+// answer may have been the one to the query after all.
+func unanswered(err error, repeated bool) error {
+	if repeated {
+		return errors.Mark(err, model.ErrUnmatched)
+	}
+	return err
+}
+
 // next returns the next of the received answers, or reads one if there is none.
 func (c *Conn) next(deadline time.Time, received *[]model.Reply) (model.Reply, error) {
 	if len(*received) == 0 {
@@ -61,19 +72,24 @@
 	return reply, nil
 }
 
-func (c *Conn) accept(reply model.Reply) {
-	c.answers.add(reply)
+func (c *Conn) accept(q model.Query, reply model.Reply) {
 	c.state = reply.State
 	if reply.Fault != "" {
 		c.broken = true
+		return
 	}
+	c.answers.add(q, reply)
 }
 
 // settle discards repetitions of earlier answers that arrived while none was due. Anything else that arrived breaks the connection.
-func (c *Conn) settle() error {
+func (c *Conn) settle(deadline time.Time) error {
 	for !c.instanceConn.Idle() {
-		reply, err := c.instanceConn.Receive(clock.Wall(clock.Now().Add(arrivedTimeout)))
-		if err == nil && c.answers.had(reply) {
+		now := clock.Now()
+		reply, err := model.Reply{}, errSettle
+		if now.Before(deadline) {
+			reply, err = c.instanceConn.Receive(clock.Wall(earlier(deadline, now.Add(arrivedTimeout))))
+		}
+		if err == nil && c.answers.hadWhole(reply) {
 			c.report(model.Query{}, reply, verdictRepeated)
 			continue
 		}
@@ -86,3 +102,10 @@
 	}
 	return nil
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -36,6 +36,8 @@
 		Deadline time.Time
 		// AnyTeam accepts an idle connection of any team; it is for administrative statements and status requests.
 		AnyTeam bool
+		// New takes no idle connection, because an answer on one that was used may be an earlier one.
+		New bool
 		// Route is the route of the caller's statements; it is empty for administrative statements and status requests.
 		Route model.RouteName
 		// Term is set if the instance is used as the primary of that term.
--- a/conns/repeated_test.go
+++ b/conns/repeated_test.go
@@ -135,7 +135,7 @@
 				conn, err = pool.Get(clock.Now(), request)
 				require.NoError(t, err)
 			}
-			reply, err := conn.Run(clock.Now().Add(300*time.Millisecond), s.values, model.Query{ID: model.RequestID(s.id), Kind: s.kind, Text: s.text})
+			reply, err := setupAndRun(conn, clock.Now().Add(300*time.Millisecond), s.values, model.Query{ID: model.RequestID(s.id), Kind: s.kind, Text: s.text})
 			if err == nil {
 				answered++
 				requireOwnAnswer(t, s.id, s.kind, reply)
@@ -203,7 +203,9 @@
 	pool, request := instance.pool()
 	conn, err := pool.Get(clock.Now(), request)
 	require.NoError(t, err)
-	_, err = conn.Run(clock.Now().Add(time.Second), map[string]string{"zone": "x"}, model.Query{ID: "1", Kind: model.CommandWrite, Text: "WRITE a b"})
-	require.ErrorIs(t, err, errSetup)
+	_, err = setupAndRun(conn, clock.Now().Add(time.Second), map[string]string{"zone": "x"}, model.Query{ID: "1", Kind: model.CommandWrite, Text: "WRITE a b"})
+	refused, ok := model.Refused(err)
+	require.True(t, ok)
+	require.Equal(t, model.FaultFailed, refused.Fault)
 	require.Equal(t, []string{"SET zone x"}, instance.texts())
 }
--- a/conns/unmatched.go
+++ b/conns/unmatched.go
@@ -14,7 +14,7 @@
 
 func (c *Conn) report(q model.Query, reply model.Reply, v verdict) {
 	if c.onUnmatched != nil {
-		c.onUnmatched(unmatched{conn: c, query: q, reply: reply, verdict: v, had: len(c.answers.whole)})
+		c.onUnmatched(unmatched{conn: c, query: q, reply: reply, verdict: v, had: len(c.answers.had)})
 	}
 }
 
--- a/model/command.go
+++ b/model/command.go
@@ -24,6 +24,8 @@
 	CommandDeallocate CommandKind = "Deallocate"
 	// CommandReset drops all values and prepared statements of a session; only the proxy sends it.
 	CommandReset CommandKind = "Reset"
+	// CommandStatus asks an instance for its state; only the proxy sends it.
+	CommandStatus CommandKind = "Status"
 	// CommandQuit ends the session.
 	CommandQuit CommandKind = "Quit"
 	// CommandInvalid is a message that is not a valid statement.
--- a/model/formatter.go
+++ b/model/formatter.go
@@ -1,6 +1,6 @@
 package model
 
-// StatementFormatter renders the statements that the proxy itself sends to an instance.
+// StatementFormatter renders the statements that the proxy itself sends to an instance, and reads the row that one of them gives.
 type StatementFormatter interface {
 	// Begin opens a transaction.
 	Begin(readOnly bool) string
@@ -14,4 +14,7 @@
 	Prepare(name string, p Prepared) string
 	// Execute runs a prepared statement under the name that it has on the connection.
 	Execute(name, arguments string) string
+	// Status asks for the state of the instance, and ParseState reads the row of the answer.
+	Status() string
+	ParseState(row string) (InstanceState, error)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -104,7 +104,12 @@
 	n.limiter = peers.NewRateLimiter(clock.Now(), peers.RateLimiterConfig{
 		Self: s.VM, Domain: s.Domain, Rankings: n.rankings, Limiter: domainLimiter, Team: n.team, Log: config.Log,
 	})
-	source := remote.NewSource(remote.SourceConfig{Pool: n.pool, Client: remote.NewClient(), Owners: n.teamConnectionOwners})
+	source := remote.NewSource(remote.SourceConfig{
+		Pool: n.pool, Client: remote.NewClient(), Owners: n.teamConnectionOwners,
+		BeginPrimaryUse: func(now time.Time, instance model.Instance, term model.Term) (func(), bool) {
+			return n.server.BeginPrimaryUse(now, instance, term)
+		},
+	})
 	n.server = serve.New(serve.Config{
 		Domain: s.Domain, Cache: n.cache, Pool: n.pool, Source: source, Samples: n.samples, Tracker: n.tracker, Limiter: n.limiter,
 		Formatter: platform.StatementFormatter{}, Log: config.Log, Metrics: config.Scope, RetryDetail: platform.RetryDetail,
--- a/remote/conn.go
+++ b/remote/conn.go
@@ -64,6 +64,21 @@
 			return model.Reply{}, err
 		}
 	}
+	return c.runLocal(deadline, r)
+}
+
+// runLocal runs a statement on a connection of this VM, whose lease may have ended during a wait for the connection.
+func (c *Conn) runLocal(deadline time.Time, r Request) (model.Reply, error) {
+	if err := c.local.Setup(deadline, r.Values, r.Prepared); err != nil {
+		return model.Reply{}, err
+	}
+	if begin := c.source.config.BeginPrimaryUse; begin != nil && c.request.Term > 0 {
+		done, ok := begin(clock.Now(), c.request.Instance, c.request.Term)
+		if !ok {
+			return model.Reply{}, errors.Mark(errors.Wrap(ErrLease, "after a switch of owners"), model.ErrNotSent)
+		}
+		defer done()
+	}
 	return execute(c.local, deadline, r)
 }
 
@@ -122,6 +137,7 @@
 func (c *Conn) step(deadline time.Time, r Request) (Answer, error) {
 	now := clock.Now()
 	r.Instance, r.Team, r.Class, r.Term, r.Route = c.request.Instance.Name, c.request.Team, c.request.Class, c.request.Term, c.request.Route
+	r.New = c.request.New
 	r.Limit = deadline.Sub(now)
 	r.Wait = min(c.request.Deadline.Sub(now), r.Limit)
 	if r.Limit <= 0 {
--- a/remote/failing_test.go
+++ b/remote/failing_test.go
@@ -19,7 +19,7 @@
 	owner.cluster.SetFaults("i-1", stand.DatabaseFaults{Unresponsive: true})
 	owner.setFailing(true)
 	startedAt := clock.Now()
-	_, err := get(t, source, time.Second).Run(inOneSecond(), nil, model.Query{ID: "w", Text: "WRITE item data"})
+	_, err := get(t, source, time.Second).Run(inOneSecond(), nil, model.Query{ID: "w", Kind: model.CommandWrite, Text: "WRITE item data"})
 	requireIs(t, err, model.ErrNotSent)
 	requireIsNot(t, err, conns.ErrBusy, "the failure is the instance's")
 	require.Less(t, clock.Now().Sub(startedAt), 100*time.Millisecond)
--- a/remote/message.go
+++ b/remote/message.go
@@ -26,6 +26,8 @@
 		Query     model.Query
 		Prepared  *model.Prepared
 		Arguments string
+		// New asks for a connection that has not been used.
+		New bool
 	}
 
 	// Answer is the result of a request.
--- a/remote/server.go
+++ b/remote/server.go
@@ -110,6 +110,9 @@
 			s.busy.Add(-1)
 		}
 	}()
+	if !r.Status && r.Query.Kind == "" {
+		return Answer{Failure: FailureLeaving, Detail: "the kind of the statement is missing; the VM that asks runs an older program"}
+	}
 	if s.held == nil && s.leaving.Load() {
 		return Answer{Failure: FailureLeaving, Detail: "the VM with the connection stops"}
 	}
@@ -151,6 +154,7 @@
 	}
 	return s.config.Pool.Get(now, conns.Request{
 		Instance: instance, Team: r.Team, Values: r.Values, Class: r.Class, Deadline: now.Add(r.Wait), AnyTeam: r.Status,
+		New: r.New,
 	})
 }
 
--- a/remote/source.go
+++ b/remote/source.go
@@ -18,6 +18,8 @@
 		// Owners returns the VMs that own the connections to an instance, in the order in which a team uses them; it returns none while the
 		// cached state has no VMs.
 		Owners func(instance model.InstanceName, team model.TeamName) []Owner
+		// BeginPrimaryUse is LocalVM.BeginPrimaryUse of this VM; nil allows every use.
+		BeginPrimaryUse func(now time.Time, instance model.Instance, term model.Term) (done func(), ok bool)
 	}
 
 	// Owner is a VM that owns connections to an instance.
--- a/serve/pick.go
+++ b/serve/pick.go
@@ -57,13 +57,20 @@
 // errRecentlyFailed reports an instance with consecutive failures whose next attempt is not due yet; nothing was sent.
 var errRecentlyFailed = errors.New("the instance failed recently and its next attempt is not due yet")
 
-// getConnection takes a connection of the team to the chosen instance and waits for it until an instant.
-func (c *callerSession) getConnection(now time.Time, op operation, to target, until time.Time) (model.PooledConn, error) {
+// connectionNeed tells until when a connection is waited for, and whether it must not have been used.
+type connectionNeed struct {
+	until  time.Time
+	unused bool
+}
+
+// getConnection takes a connection of the team to the chosen instance.
+func (c *callerSession) getConnection(now time.Time, op operation, to target, need connectionNeed) (model.PooledConn, error) {
 	if !c.server.config.Tracker.TakeAttempt(now, to.instance.Name) {
 		return nil, errRecentlyFailed
 	}
 	request := conns.Request{
-		Instance: to.instance, Team: op.team, Values: c.session.Values, Class: class(op.route.Priority), Route: op.route.Name, Deadline: until,
+		Instance: to.instance, Team: op.team, Values: c.session.Values, Class: class(op.route.Priority), Route: op.route.Name,
+		Deadline: need.until, New: need.unused,
 	}
 	if to.primary {
 		request.Term = to.lease.Term
--- a/serve/read.go
+++ b/serve/read.go
@@ -80,13 +80,14 @@
 }
 
 func (c *callerSession) tryRead(now time.Time, op operation, s statement, to target) attempt {
-	conn, err := c.getConnection(now, op, to, c.attemptDeadline(now, c.left(op).LatestStart()))
+	conn, err := c.getConnection(now, op, to, connectionNeed{until: c.attemptDeadline(now, c.left(op).LatestStart())})
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
 		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
 	}
 	defer func() { c.server.config.Source.Put(clock.Now(), conn) }()
-	if err := c.setup(conn, c.attemptDeadline(clock.Now(), c.deadline(op)), s); err != nil {
+	deadline := c.attemptDeadline(clock.Now(), c.deadline(op))
+	if err := c.setup(conn, deadline, s); err != nil {
 		c.server.trackFailure(to.instance.Name, err)
 		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
 	}
@@ -94,7 +95,7 @@
 	if to.primary && !c.server.config.Cache.LeaseValid(sentAt, to.lease) {
 		return attempt{err: errLease}
 	}
-	reply, err := c.send(conn, c.attemptDeadline(sentAt, c.deadline(op)), s, to.since)
+	reply, err := c.send(conn, deadline, s, to.since)
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
 		return attempt{err: err, sent: !errors.Is(err, model.ErrNotSent), retryAfter: c.retryAfter(op, to, err)}
--- a/serve/refresh.go
+++ b/serve/refresh.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
@@ -133,11 +135,20 @@
 	}
 }
 
-// pollStatus requests the state of an instance on a connection of any team.
+// pollStatus requests the state of an instance on a connection of any team. If the answer may be an earlier one, it asks again on a new connection.
 func (s *Server) pollStatus(instance model.Instance) (instanceState model.InstanceState, sentAt time.Time, err error) {
+	instanceState, sentAt, err = s.pollOnce(instance, false)
+	if errors.Is(err, model.ErrUnmatched) {
+		return s.pollOnce(instance, true)
+	}
+	return instanceState, sentAt, err
+}
+
+// pollOnce requests the state on one connection, which has not been used if unused is set.
+func (s *Server) pollOnce(instance model.Instance, unused bool) (instanceState model.InstanceState, sentAt time.Time, err error) {
 	now := clock.Now()
 	conn, err := s.config.Source.Get(now, conns.Request{
-		Instance: instance, Team: model.ProxyTeam, Class: tree.ClassReservation, Deadline: now.Add(pollTimeout), AnyTeam: true,
+		Instance: instance, Team: model.ProxyTeam, Class: tree.ClassReservation, Deadline: now.Add(pollTimeout), AnyTeam: true, New: unused,
 	})
 	if err != nil {
 		return instanceState, now, err
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -113,6 +113,9 @@
 			c.tx.target = to
 			return model.Reply{}, true
 		}
+		if refused, ok := model.Refused(last.err); ok && !refused.Fault.NotRun() {
+			return refusedSetup(refused), false
+		}
 		c.server.config.Log.Debug("transaction not opened", "id", command.ID, "instance", to.instance.Name, "fault", last.reply.Fault, "error", last.err)
 	}
 }
@@ -127,27 +130,29 @@
 	return to, refusal, found && !tried[to.instance.Name]
 }
 
-// tryBegin opens the transaction on an instance. If the answer on one connection is uncertain, which ends that connection, it tries another one.
+// tryBegin opens the transaction on an instance. If the answer on a connection may be an earlier one, it tries a new connection, where it cannot be.
 func (c *callerSession) tryBegin(op operation, to target) attempt {
-	last := c.beginOnce(op, to)
+	last := c.beginOnce(op, to, false)
 	if errors.Is(last.err, model.ErrUnmatched) {
-		last = c.beginOnce(op, to)
+		last = c.beginOnce(op, to, true)
 	}
 	return last
 }
 
-func (c *callerSession) beginOnce(op operation, to target) attempt {
+// beginOnce opens the transaction on one connection, which has not been used if unused is set.
+func (c *callerSession) beginOnce(op operation, to target, unused bool) attempt {
 	now := clock.Now()
 	until := c.left(op).LatestStart()
 	if c.tx.readOnly {
 		until = c.attemptDeadline(now, until)
 	}
-	conn, err := c.getConnection(now, op, to, until)
+	conn, err := c.getConnection(now, op, to, connectionNeed{until: until, unused: unused})
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
 		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
 	}
-	if err := conn.Setup(c.attemptDeadline(clock.Now(), c.deadline(op)), c.session.Values, nil); err != nil {
+	deadline := c.attemptDeadline(clock.Now(), c.deadline(op))
+	if err := conn.Setup(deadline, c.session.Values, nil); err != nil {
 		c.server.trackFailure(to.instance.Name, err)
 		c.server.config.Source.Put(clock.Now(), conn)
 		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
@@ -158,7 +163,7 @@
 		return attempt{err: errLease}
 	}
 	begin := model.Query{ID: c.tx.beginID, Kind: model.CommandBegin, Text: c.server.config.Formatter.Begin(c.tx.readOnly), Since: to.since}
-	reply, err := conn.Run(c.attemptDeadline(sentAt, c.deadline(op)), c.session.Values, begin)
+	reply, err := conn.Run(deadline, c.session.Values, begin)
 	if err == nil && reply.Fault == "" && reply.State != model.TxOpen {
 		err = errors.New("the instance did not open the transaction")
 		conn.Break()
@@ -249,7 +254,12 @@
 	conn := t.conn
 	t.conn = nil
 	if !conn.Broken() {
-		reply, err := conn.Run(clock.Now().Add(rollbackTimeout), c.session.Values, model.Query{ID: t.rollbackID, Kind: model.CommandRollback, Text: c.server.config.Formatter.Rollback()})
+		deadline := clock.Now().Add(rollbackTimeout)
+		err := conn.Setup(deadline, c.session.Values, nil)
+		var reply model.Reply
+		if err == nil {
+			reply, err = conn.Run(deadline, c.session.Values, model.Query{ID: t.rollbackID, Kind: model.CommandRollback, Text: c.server.config.Formatter.Rollback()})
+		}
 		if err != nil || reply.Fault != "" || reply.State != model.TxNone {
 			conn.Break()
 		}
--- a/serve/write.go
+++ b/serve/write.go
@@ -36,7 +36,7 @@
 // tryWrite runs a write on the primary. If it did not run, it may after retryAfter, which is 0 if unknown.
 func (c *callerSession) tryWrite(op operation, s statement, to target, step sess.Step) (reply model.Reply, retryAfter time.Duration) {
 	now := clock.Now()
-	conn, err := c.getConnection(now, op, to, c.left(op).LatestStart())
+	conn, err := c.getConnection(now, op, to, connectionNeed{until: c.left(op).LatestStart()})
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
 		return c.refuseNotSent(op, to, err)
@@ -51,6 +51,9 @@
 
 // refuseNotSent returns the refusal of a write of which the primary received nothing because of err, and the time after which it may.
 func (c *callerSession) refuseNotSent(op operation, to target, err error) (refusal model.Reply, retryAfter time.Duration) {
+	if refused, ok := model.Refused(err); ok && !refused.Fault.NotRun() {
+		return refusedSetup(refused), 0
+	}
 	reason := "the primary takes no connection"
 	if errors.IsAny(err, errLease, remote.ErrLease) {
 		reason = "the primary is being replaced"
@@ -59,6 +62,12 @@
 	return c.server.refuse(model.FaultBusy, reason, retryAfter), retryAfter
 }
 
+// refusedSetup returns the reply to a statement that was not sent because the instance refused a value or a prepared statement of the session, as it
+// would again.
+func refusedSetup(refused *model.RefusedError) model.Reply {
+	return model.Reply{Fault: model.FaultAborted, Detail: "the instance refused the values of the session: " + refused.Error()}
+}
+
 // sendPossibleCommit sends a statement that may commit; an error means that nothing was sent. Until it is settled what the statement
 // committed, confirmations of this VM are not complete; see KnownCommits.
 func (c *callerSession) sendPossibleCommit(conn model.PooledConn, op operation, s statement, to target, step sess.Step, deadline time.Time) (model.Reply, error) {
@@ -86,7 +95,7 @@
 			return model.Reply{}, err
 		}
 		settled = false
-		if step.MayCommit() && !errors.Is(err, remote.ErrOwnerNoAnswer) {
+		if step.MayCommit() && !errors.IsAny(err, remote.ErrOwnerNoAnswer, model.ErrUnmatched) {
 			c.server.commits.recordUnanswered(now, sentAt, group, to.lease.Term)
 		}
 		return model.Reply{Fault: sess.UnansweredFault(step, !now.Before(deadline)), Detail: "the primary did not answer"}, nil
--- a/stand/clusterconn.go
+++ b/stand/clusterconn.go
@@ -213,7 +213,12 @@
 		return model.InstanceState{}, err
 	}
 	defer c.cluster.mu.Unlock()
+	change(c.database)
+	return c.instanceState(), nil
+}
+
+// instanceState returns the state of the instance under the lock.
+func (c *clusterConn) instanceState() model.InstanceState {
 	d := c.database
-	change(d)
-	return model.InstanceState{Role: d.instance.Role, Term: d.term, Received: c.position(), Held: max(d.pausedTerm, d.term)}, nil
+	return model.InstanceState{Role: d.instance.Role, Term: d.term, Received: c.position(), Held: max(d.pausedTerm, d.term)}
 }
--- a/stand/statement.go
+++ b/stand/statement.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -33,6 +34,7 @@
 		"EXEC":     (*clusterConn).executePrepared,
 		"DEALLOC":  withoutCommit((*clusterConn).deallocate),
 		"RESET":    withoutCommit((*clusterConn).reset),
+		"STATUS":   withoutCommit((*clusterConn).status),
 	}
 
 	// provenStatements holds the first words of the statements whose success carries a proof.
@@ -194,3 +196,13 @@
 
 // endTransaction ends a transaction and forgets its writes.
 func (c *clusterConn) endTransaction() { c.inTransaction, c.failed, c.writes = false, false, nil }
+
+// status answers with the row that describes the state of the instance.
+func (c *clusterConn) status(args string) model.Reply {
+	if args != "" {
+		return c.fault(model.FaultBadMessage)
+	}
+	state, reply := c.instanceState(), c.success()
+	reply.Rows = []string{fmt.Sprintf("%s %d %s %d 0 0 0", strings.ToLower(string(state.Role)), state.Term, state.Received, state.Held)}
+	return reply
+}
--- a/stand/statement_test.go
+++ b/stand/statement_test.go
@@ -75,7 +75,7 @@
 	for text, fault := range map[string]model.Fault{
 		"":                     model.FaultBadMessage,
 		"read a":               model.FaultBadMessage,
-		"STATUS":               model.FaultBadMessage,
+		"STATUS x":             model.FaultBadMessage,
 		"SINCE 1 READ a":       model.FaultBadMessage,
 		" READ a":              model.FaultBadMessage,
 		"READ":                 model.FaultBadMessage,
