--- a/node/badmessage_test.go
+++ b/node/badmessage_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/crocusshore/crocusshore/model"
 )
 
 // TestMessageThatIsNoTextIsAnswered guards against a connection that ends without an answer to a whole message because it holds bytes that
@@ -38,9 +41,31 @@
 		require.NoError(t, conn.SetDeadline(time.Now().Add(time.Second)))
 		_, err = conn.Write([]byte(text + "\r\n"))
 		require.NoError(t, err)
-		line, err := bufio.NewReader(conn).ReadString('\n')
+		line, err := readMessage(bufio.NewReader(conn))
 		require.NoError(t, err)
-		require.Equal(t, "ERR BADMSG", strings.TrimSpace(line))
+		require.Equal(t, "ERR BADMSG", line)
 		require.NoError(t, conn.Close())
 	}
 }
+
+// TestDataWithLineFeedsIsStoredUnchanged guards against data that is cut at a line feed, and whose rest is run as a statement of its own.
+func TestDataWithLineFeedsIsStoredUnchanged(t *testing.T) {
+	s := newSite(t, 1)
+	c, err := s.dial(0, "revise", "key-1")
+	require.NoError(t, err)
+	for _, data := range []string{
+		"a\nQUERY q9 WRITE other y", "a\nQUIT\n", "a\nDONE 7.inside\nREADY I 3.1\nx", "a\rb", "a\r", "a\x00b", "a\uFFFDb", "a  b", " a ", "\n",
+	} {
+		id, rows, end, err := c.ask("WRITE item " + data)
+		require.NoError(t, err)
+		require.Empty(t, rows)
+		require.True(t, strings.HasPrefix(end, "DONE "), "%q: %s", data, end)
+		require.Equal(t, 1, s.cluster.CommitCount(model.RequestID(id)), "%q", data)
+		require.Equal(t, []string{data}, c.must(t, "READ item"), "the answer to the next statement is its own, with the data as it was sent")
+	}
+	require.Zero(t, s.cluster.CommitCount("q9"), "data is not run")
+	require.Equal(t, []string{""}, c.must(t, "READ other"))
+	require.NoError(t, c.conn.SetDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err = c.in.ReadByte()
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "nothing more is sent")
+}
--- a/node/client_test.go
+++ b/node/client_test.go
@@ -32,14 +32,26 @@
 	if _, err := fmt.Fprintf(conn, "START %s %s\r\n", database, key); err != nil {
 		return nil, err
 	}
-	line, err := c.in.ReadString('\n')
-	if err != nil || !strings.HasPrefix(line, "READY I") {
+	line, err := readMessage(c.in)
+	if err != nil || !strings.HasPrefix(line, "READY I ") {
 		_ = conn.Close()
 		return nil, fmt.Errorf("session refused: %q %w", line, io.EOF)
 	}
 	return c, nil
 }
 
+// readMessage returns the next message without its end, which is CR LF; nothing else ends it.
+func readMessage(in *bufio.Reader) (string, error) {
+	var message strings.Builder
+	for {
+		piece, err := in.ReadString('\n')
+		message.WriteString(piece)
+		if text, ended := strings.CutSuffix(message.String(), "\r\n"); ended || err != nil {
+			return text, err
+		}
+	}
+}
+
 var ids atomic.Int64
 
 // askTimeout bounds the wait for an answer.
@@ -60,18 +72,20 @@
 		return id, nil, "", err
 	}
 	for {
-		line, err := c.in.ReadString('\n')
+		line, err := readMessage(c.in)
 		if err != nil {
 			return id, rows, end, err
 		}
-		line = strings.TrimSpace(line)
+		word, rest, _ := strings.Cut(line, " ")
 		switch {
-		case strings.HasPrefix(line, "ROW"):
-			rows = append(rows, strings.TrimSpace(strings.TrimPrefix(line, "ROW")))
-		case strings.HasPrefix(line, "READY"):
+		case word == "ROW" && end == "":
+			rows = append(rows, rest)
+		case (word == "DONE" || word == "ERR") && end == "":
+			end = line
+		case word == "READY" && end != "":
 			return id, rows, end, nil
 		default:
-			end = line
+			return id, rows, end, fmt.Errorf("%q is no message of an answer here", line)
 		}
 	}
 }
--- a/stand/clusterconn.go
+++ b/stand/clusterconn.go
@@ -135,7 +135,7 @@
 	case "COMMIT":
 		return c.commit()
 	case "WRITE":
-		return c.write(q.ID, words[1], words[2])
+		return c.write(q.ID, words[1], strings.Join(words[2:], " "))
 	case "EXEC":
 		return c.executePrepared(q.ID, words)
 	default:
