--- a/conns/repeatedstate_test.go
+++ b/conns/repeatedstate_test.go
@@ -113,10 +113,10 @@
 func TestRepeatedStateIsDroppedLikeOtherRepetitions(t *testing.T) {
 	state := "ROW primary 1 1.7 1 0 0 1\r\nDONE -\r\nREADY I 1.7\r\n"
 	_, pool, request := newScripted(t, ready, func(n int, id, text string) string {
-		switch {
-		case text == "STATUS":
+		switch text {
+		case "STATUS":
 			return state
-		case text == "BEGIN":
+		case "BEGIN":
 			return "DONE -\r\nREADY T 1.7\r\n" + state
 		default:
 			return "DONE mac-" + id + "\r\nREADY T 1.7\r\n"
