Soak: callers' text that looks like protocol, and answers checked against their statements

Callers draw such text from a stream of their own (texts), so that the faults and statements of a seed stay the same; probes of the recovery send plain text. Messages from a VM are read with framing of the soak's own, at CR LF and nowhere else. What comes with nothing asked, a proof that is not that of the statement and its rows, and a state that does not follow from the statement are `mixed`. At the instance, EXEC has to run the kind and shape that its caller prepared, an id runs once on a connection, values and names count once the instance has taken them, and a read, write, EXEC or COMMIT without a caller's id is `unasked`.

A session that ends an operation outside I is closed. The list of violations is bounded for each check instead of for all, and counts by check are printed: the first 50 violations hid all others.

--- a/commands/soak.go
+++ b/commands/soak.go
@@ -69,7 +69,8 @@
 	}
 	report, err := soak.Run(ctx, soak.Config{
 		Program: c.String("program"), Dir: dir, Seed: seed, VMs: c.Int("vms"), Groups: c.Int("groups"), Sessions: c.Int("sessions"),
-		For: c.Duration("for"), OrderFaults: c.Bool("order-faults"), PlannedOnly: c.Bool("planned"), Together: c.Int("together"), Grace: c.Duration("grace"), Log: logger,
+		For: c.Duration("for"), OrderFaults: c.Bool("order-faults"), PlannedOnly: c.Bool("planned"),
+		Together: c.Int("together"), Grace: c.Duration("grace"), Log: logger,
 	})
 	if err != nil {
 		return false, err
@@ -85,6 +86,7 @@
 	for _, f := range report.Faults {
 		fmt.Println("  ", f)
 	}
+	fmt.Println("  by kind:", report.Kinds)
 	for _, b := range report.Violations {
 		fmt.Println("  broken:", b)
 	}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -1,11 +1,9 @@
 package soak
 
 import (
-	"bufio"
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,19 +42,23 @@
 		site   *site
 		name   string
 		random *rand.Rand
-		team   model.TeamName
-		key    string
+		// texts draws unusual text for names, values and shapes; nil leaves them plain.
+		texts *texts
+		team  model.TeamName
+		key   string
 
 		// maxPause bounds the pause between two operations.
 		maxPause time.Duration
 
 		// vm is the VM of the connection.
-		vm     *process
-		conn   net.Conn
-		reader *bufio.Reader
-		route  route
-		// values holds the session values that the caller has set.
-		values map[string]string
+		vm    *process
+		conn  net.Conn
+		in    *messageReader
+		route route
+		// state is the state of the session after the last answer.
+		state sessionState
+		// values holds the session values that the caller has set, and prepared the kind and the shape of each statement that it has prepared.
+		values, prepared map[string]string
 		// lastAcked holds, for each item, the number of the last value that this session wrote and had acknowledged.
 		lastAcked  map[string]int
 		operations int
@@ -86,7 +88,7 @@
 			time.Sleep(maxPause)
 			continue
 		}
-		if err := c.runOperation(); err != nil || c.leaves() {
+		if err := c.runOperation(); err != nil || c.state != stateIdle || c.leaves() {
 			c.disconnect()
 		}
 		time.Sleep(time.Duration(c.random.Int64N(int64(c.maxPause))))
@@ -108,7 +110,7 @@
 
 func (c *caller) nextItem() {
 	c.itemCount++
-	c.item = fmt.Sprintf("%s-%d", c.name, c.itemCount)
+	c.item = c.texts.word(fmt.Sprintf("%s-%d", c.name, c.itemCount))
 	c.valueCount = 0
 	c.site.history.recordItem(c.route.group, c.item)
 }
@@ -130,20 +132,35 @@
 	}
 	c.nextItem()
 	c.vm = vm
-	c.conn, c.reader, c.values, c.lastAcked = conn, bufio.NewReader(conn), map[string]string{}, map[string]int{}
+	c.conn, c.in, c.state = conn, newMessageReader(conn), stateIdle
+	c.values, c.prepared, c.lastAcked = map[string]string{}, map[string]string{}, map[string]int{}
 	if err := conn.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(conn, "START %s %s\r\n", c.route.name, c.key); err == nil {
-		var line string
-		if line, err = c.reader.ReadString('\n'); err == nil && strings.HasPrefix(line, "READY I") {
-			return nil
-		}
+	if _, err := fmt.Fprintf(conn, "START %s %s"+lineEnd, c.route.name, c.key); err == nil && c.accepted() {
+		return nil
 	}
 	c.disconnect()
 	return errSessionEnded
 }
 
+// accepted reads the answer to START and reports whether the session is open.
+func (c *caller) accepted() bool {
+	message, err := c.in.next()
+	if err != nil {
+		return false
+	}
+	word, rest := splitMessage(message)
+	state, valid := parseReady(rest)
+	if word == "READY" && valid && state == stateIdle {
+		return true
+	}
+	if word != "ERR" {
+		c.site.history.addViolation("mixed: %s got %q in answer to START", c.name, message)
+	}
+	return false
+}
+
 func (c *caller) disconnect() {
 	if c.conn != nil {
 		_ = c.conn.Close()
@@ -168,17 +185,21 @@
 }
 
 func (c *caller) set() error {
-	name, value := string(rune('a'+c.random.IntN(2))), fmt.Sprint(c.random.IntN(3))
-	if _, err := c.query("SET " + name + " " + value); err != nil {
-		return err
+	name, value := string(rune('a'+c.random.IntN(2))), c.texts.text(fmt.Sprint(c.random.IntN(3)))
+	if a, err := c.query("SET " + name + " " + value); err != nil || a.fault != "" {
+		return errSessionEnded
 	}
 	c.values[name] = value
 	return nil
 }
 
 func (c *caller) read(item string) error {
+	verb, err := c.verb("READ")
+	if err != nil {
+		return err
+	}
 	minValues := max(c.site.history.lastAckedNumber(item, time.Now().Add(-c.route.maxAge)), c.minOwnValues(item))
-	a, err := c.query("READ " + item)
+	a, err := c.query(verb + item)
 	if err != nil || a.fault != "" {
 		return c.faultError(a, err)
 	}
@@ -224,10 +245,10 @@
 func (c *caller) write() error {
 	verb := "WRITE "
 	if c.random.IntN(3) == 0 {
-		if a, err := c.query("PREPARE s1 WRITE q2"); err != nil || a.fault != "" {
-			return errSessionEnded
+		var err error
+		if verb, err = c.prepare("WRITE"); err != nil {
+			return err
 		}
-		verb = "EXEC s1 "
 	}
 	value := c.nextValue()
 	text := verb + c.item + " " + value
@@ -239,7 +260,7 @@
 
 func (c *caller) nextValue() string {
 	c.valueCount++
-	return fmt.Sprintf("%s=%d", c.item, c.valueCount)
+	return c.texts.text(fmt.Sprintf("%s=%d", c.item, c.valueCount))
 }
 
 // recordOutcome derives the outcome of the last value from the answer to the write or commit, and records it. After an unknown outcome
@@ -262,31 +283,3 @@
 		return c.faultError(a, err)
 	}
 }
-
-// transaction writes one value, sometimes reads, and commits or rolls back.
-func (c *caller) transaction() error {
-	if a, err := c.query("BEGIN"); err != nil || a.fault != "" {
-		return c.faultError(a, err)
-	}
-	value := c.nextValue()
-	id := c.nextID()
-	c.site.history.recordWrite(c.item, id, value)
-	a, err := c.queryWithID(id, "WRITE "+c.item+" "+value)
-	if err == nil && a.fault == "" && c.random.IntN(2) == 0 {
-		time.Sleep(time.Duration(c.random.Int64N(int64(maxPause))))
-		a, err = c.query("READ " + c.anyItem())
-	}
-	if err != nil {
-		// The commit was never sent, so nothing of the transaction may be committed.
-		c.site.history.recordOutcome(c.item, id, outcomeRefused)
-		return err
-	}
-	if a.fault != "" || c.random.IntN(4) == 0 {
-		c.site.history.recordOutcome(c.item, id, outcomeRefused)
-		_, err := c.query("ROLLBACK")
-		return err
-	}
-	commit := c.nextID()
-	a, err = c.queryWithID(commit, "COMMIT")
-	return c.recordOutcome(commit, a, err)
-}
--- a/soak/history.go
+++ b/soak/history.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// maxViolations bounds the violations that are kept.
+	// maxViolations bounds the violations of one check that are kept.
 	maxViolations = 50
 	// recentItems is the number of the newest items of a group from which all callers choose what they read.
 	recentItems = 30
@@ -30,6 +30,8 @@
 		operation string
 		text      string
 		values    map[string]string
+		// prepared is the kind and the shape of the statement that EXEC runs, as its caller prepared it; it is empty for other statements.
+		prepared string
 		// work is the time that an instance takes beyond the usual.
 		work    time.Duration
 		passage passage
@@ -55,6 +57,8 @@
 		// arrivals holds when the operations of each team reached an instance.
 		arrivals   map[model.TeamName][]arrival
 		violations []string
+		// kinds counts the violations by the names of their checks, also those beyond maxViolations.
+		kinds map[string]int
 		// outcomes counts the writes by their outcomes.
 		outcomes map[outcome]int
 		// told holds what the callers were told of the statements that commit.
@@ -73,7 +77,7 @@
 func newHistory() *history {
 	return &history{
 		sent: map[model.RequestID]sentStatement{}, items: map[string][]writtenValue{}, recent: map[model.GroupName][]string{},
-		arrivals: map[model.TeamName][]arrival{}, outcomes: map[outcome]int{}, told: map[model.RequestID]outcome{},
+		arrivals: map[model.TeamName][]arrival{}, kinds: map[string]int{}, outcomes: map[outcome]int{}, told: map[model.RequestID]outcome{},
 	}
 }
 
@@ -86,7 +90,9 @@
 
 // addViolationLocked is addViolation for callers that hold the lock.
 func (h *history) addViolationLocked(format string, args ...any) {
-	if len(h.violations) < maxViolations {
+	kind, _, _ := strings.Cut(format, ":")
+	h.kinds[kind]++
+	if h.kinds[kind] <= maxViolations {
 		h.violations = append(h.violations, time.Now().Format(clockFormat+" ")+fmt.Sprintf(format, args...))
 	}
 }
@@ -159,7 +165,7 @@
 	defer h.mu.Unlock()
 	if value == "" {
 		if minValues > 0 {
-			h.addViolationLocked("stale: %s read nothing of %s, which had %d acknowledged values", by, item, minValues)
+			h.addViolationLocked("stale: %s read nothing of %q, which had %d acknowledged values", by, item, minValues)
 		}
 		return
 	}
@@ -168,14 +174,14 @@
 			continue
 		}
 		if v.outcome == outcomeRefused {
-			h.addViolationLocked("kept: %s read %s of %s, which was refused or rolled back", by, value, item)
+			h.addViolationLocked("kept: %s read %q of %q, which was refused or rolled back", by, value, item)
 		}
 		if i+1 < minValues {
-			h.addViolationLocked("stale: %s read value %d of %s, at least %d were acknowledged", by, i+1, item, minValues)
+			h.addViolationLocked("stale: %s read value %d of %q, at least %d were acknowledged", by, i+1, item, minValues)
 		}
 		return
 	}
-	h.addViolationLocked("mixed: %s read %q of %s, which nobody wrote", by, value, item)
+	h.addViolationLocked("mixed: %s read %q of %q, which nobody wrote", by, value, item)
 }
 
 // checkArrival checks a statement that reached an instance against what its caller sent. It returns false if no caller sent it.
@@ -185,18 +191,18 @@
 	a, known := h.sent[q.ID]
 	switch {
 	case !known:
-		h.addViolationLocked("unasked: %s %s was sent by nobody", q.ID, q.Text)
+		h.addViolationLocked("unasked: %s %q was sent by nobody", q.ID, q.Text)
 	case a.team != team:
 		h.addViolationLocked("unasked: %s of %s ran for %s", q.ID, a.team, team)
 	case !sameText(a.text, q.Text):
 		h.addViolationLocked("unasked: %s was %q and ran as %q", q.ID, a.text, q.Text)
 	case !maps.Equal(a.values, values):
-		h.addViolationLocked("pinned: %s ran with the session values %v instead of %v", q.ID, values, a.values)
+		h.addViolationLocked("pinned: %s ran with the session values %q instead of %q", q.ID, values, a.values)
 	}
 	return a, known
 }
 
-// sameText reports whether two statements are equal apart from the name of a prepared statement.
+// sameText reports whether two statements are equal byte for byte, apart from the name of a prepared statement.
 func sameText(sent, ran string) bool {
 	if sent == ran {
 		return true
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -67,6 +67,9 @@
 		"unknown":              {"t", model.Query{ID: "x", Text: "READ a"}, nil, "unasked"},
 		"another text":         {"t", model.Query{ID: "q", Text: "READ b"}, map[string]string{"z": "1"}, "unasked"},
 		"another argument":     {"t", model.Query{ID: "e", Text: "EXEC p7 a c"}, nil, "unasked"},
+		"a cut argument":       {"t", model.Query{ID: "l", Text: "WRITE a  b"}, nil, "unasked"},
+		"without its last CR":  {"t", model.Query{ID: "l", Text: "WRITE a  b\n c "}, nil, "unasked"},
+		"byte for byte":        {"t", model.Query{ID: "l", Text: "WRITE a  b\n c \r"}, nil, ""},
 		"another team":         {"u", model.Query{ID: "q", Text: "READ a"}, map[string]string{"z": "1"}, "unasked"},
 		"another value":        {"t", model.Query{ID: "q", Text: "READ a"}, map[string]string{"z": "2"}, "pinned"},
 	} {
@@ -74,6 +77,7 @@
 			h := newHistory()
 			h.recordSent("q", sentStatement{team: "t", text: "READ a", values: map[string]string{"z": "1"}})
 			h.recordSent("e", sentStatement{team: "t", text: "EXEC s1 a b"})
+			h.recordSent("l", sentStatement{team: "t", text: "WRITE a  b\n c \r"})
 			h.checkArrival(c.team, c.query, c.values)
 			if c.violation == "" {
 				require.Empty(t, h.violations)
@@ -89,7 +93,7 @@
 	h := newHistory()
 	h.recordSent("b", sentStatement{team: "t", operation: "o1", text: "BEGIN"})
 	h.recordSent("r", sentStatement{team: "t", operation: "o2", text: "READ a"})
-	conn := &checkedConn{history: h, team: "t", values: map[string]string{}}
+	conn := newCheckedConn(nil, h, "t")
 	conn.check(model.Query{ID: "b", Text: "BEGIN"})
 	require.Empty(t, h.violations)
 	conn.check(model.Query{ID: "r", Text: "READ a"})
--- a/soak/run.go
+++ b/soak/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -29,8 +30,10 @@
 type Report struct {
 	// Faults lists the faults in the order of their beginning, with their times.
 	Faults []string
-	// Violations lists the violated invariants, at most maxViolations.
+	// Violations lists the violated invariants, at most maxViolations of a check.
 	Violations []string
+	// Kinds counts the violations by the names of their checks, also those beyond maxViolations.
+	Kinds map[string]int
 	// Acknowledged, Refused and Unknown count the writes by the outcome that their callers were answered.
 	Acknowledged, Refused, Unknown int
 	// Unanswered counts the violations of the check of answers, also those beyond maxViolations.
@@ -94,7 +97,7 @@
 func (s *site) newCaller(n int) *caller {
 	c := &caller{
 		site: s, name: fmt.Sprintf("s%d", n), random: rand.New(rand.NewPCG(s.config.Seed, uint64(n)+100)), team: teamBuilders, key: keyBuilders,
-		maxPause: maxPause,
+		texts: &texts{random: rand.New(rand.NewPCG(s.config.Seed, uint64(n)+textStream))}, maxPause: maxPause,
 	}
 	switch {
 	case s.config.PlannedOnly:
@@ -230,11 +233,11 @@
 	count := kept[v.id]
 	switch {
 	case v.outcome == outcomeAcked && count == 0:
-		s.history.addViolationLocked("lost: %s (%s) was acknowledged and is not kept", v.value, v.id)
+		s.history.addViolationLocked("lost: %q (%s) was acknowledged and is not kept", v.value, v.id)
 	case v.outcome == outcomeRefused && count > 0:
-		s.history.addViolationLocked("kept: %s (%s) was refused or rolled back and is kept", v.value, v.id)
+		s.history.addViolationLocked("kept: %q (%s) was refused or rolled back and is kept", v.value, v.id)
 	case count > 1:
-		s.history.addViolationLocked("twice: %s (%s) of %s is kept %d times", v.value, v.id, item, count)
+		s.history.addViolationLocked("twice: %q (%s) of %q is kept %d times", v.value, v.id, item, count)
 	}
 }
 
@@ -243,8 +246,8 @@
 	s.history.mu.Lock()
 	defer s.history.mu.Unlock()
 	r := Report{
-		Violations: s.history.violations, Acknowledged: s.history.outcomes[outcomeAcked], Refused: s.history.outcomes[outcomeRefused],
-		Unknown: s.history.outcomes[outcomeUnknown], Unanswered: s.unanswered, Orders: orders,
+		Violations: s.history.violations, Kinds: maps.Clone(s.history.kinds), Acknowledged: s.history.outcomes[outcomeAcked],
+		Refused: s.history.outcomes[outcomeRefused], Unknown: s.history.outcomes[outcomeUnknown], Unanswered: s.unanswered, Orders: orders,
 	}
 	for _, f := range faults {
 		r.Faults = append(r.Faults, fmt.Sprintf("%6.2f s to %6.2f s  %s", f.at.Seconds(), (f.at+f.length).Seconds(), f.name))
