--- a/commands/soak.go
+++ b/commands/soak.go
@@ -29,6 +29,7 @@
 			&cli.IntFlag{Name: "sessions", Usage: "how many callers at a time", Value: 24},
 			&cli.DurationFlag{Name: "for", Usage: "how long faults are injected", Value: 15 * time.Second},
 			&cli.BoolFlag{Name: "order-faults", Usage: "also faults of the promotion service and of the paths to it"},
+			&cli.BoolFlag{Name: "answer-faults", Usage: "also instances that repeat, cut or delay answers and refuse session values"},
 			&cli.BoolFlag{Name: "planned", Usage: "no faults, only planned work: restarts and changes of settings"},
 			&cli.IntFlag{Name: "together", Usage: "how many daemons restart at a time in planned work", Value: 1},
 			&cli.DurationFlag{Name: "grace", Usage: "the time between SIGTERM and SIGKILL", Value: 3 * time.Second},
@@ -69,7 +70,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Config{
 		Program: c.String("program"), Dir: dir, Seed: seed, VMs: c.Int("vms"), Groups: c.Int("groups"), Sessions: c.Int("sessions"),
-		For: c.Duration("for"), OrderFaults: c.Bool("order-faults"), PlannedOnly: c.Bool("planned"),
+		For: c.Duration("for"), OrderFaults: c.Bool("order-faults"), AnswerFaults: c.Bool("answer-faults"), PlannedOnly: c.Bool("planned"),
 		Together: c.Int("together"), Grace: c.Duration("grace"), Log: logger,
 	})
 	if err != nil {
--- a/soak/config.go
+++ b/soak/config.go
@@ -31,6 +31,8 @@
 	For time.Duration
 	// OrderFaults adds faults of the promotion service and of the paths to it, beside the other faults.
 	OrderFaults bool
+	// AnswerFaults adds faults of the answers of instances, beside the other faults.
+	AnswerFaults bool
 	// PlannedOnly replaces the faults by planned work: restarts, Together VMs at a time, and changes of settings.
 	PlannedOnly bool
 	Together    int
--- a/soak/conn_test.go
+++ b/soak/conn_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/platform"
+	"github.com/crocusshore/crocusshore/stand"
 )
 
 // answeringConn answers each statement with the fault under its text, or with success.
@@ -80,3 +81,18 @@
 	conn := newCheckedConn(answeringConn{}, newHistory(), "t")
 	require.Equal(t, platform.AnswerPlan{Cut: true}, platform.PlanAnswer(conn))
 }
+
+// TestSeriesOfFaultsLeaveEachOther guards against a fault of answers that ends with another fault of its instance, and the other way round.
+func TestSeriesOfFaultsLeaveEachOther(t *testing.T) {
+	s := newPlanSite(false)
+	s.clusters[0] = stand.NewCluster(stand.ClusterConfig{Instances: []model.Instance{{Name: "i-0-0"}}})
+	repeated := stand.AnswerFaults{Repeated: 0.5}
+	s.changeFaults(0, "i-0-0", func(f *stand.DatabaseFaults) { f.Answers = repeated })
+	s.setFaults(0, "i-0-0", stand.DatabaseFaults{Down: true})
+	require.Equal(t, stand.DatabaseFaults{Down: true, Answers: repeated}, s.databaseFaults["i-0-0"])
+	s.changeFaults(0, "i-0-0", func(f *stand.DatabaseFaults) { f.Answers.Cut = 0.1 })
+	s.changeFaults(0, "i-0-0", func(f *stand.DatabaseFaults) { f.Answers.Cut = 0 })
+	require.Equal(t, stand.DatabaseFaults{Down: true, Answers: repeated}, s.databaseFaults["i-0-0"])
+	s.setFaults(0, "i-0-0", stand.DatabaseFaults{})
+	require.Equal(t, stand.DatabaseFaults{Answers: repeated}, s.databaseFaults["i-0-0"])
+}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -119,8 +119,8 @@
 	}
 	kind := []string{"down", "dark", "deaf", "without answers"}[i.random.IntN(len(kinds))]
 	return fault{
-		name: fmt.Sprintf("%s %s", name, kind), begin: func() { i.site.clusters[g].SetFaults(name, kinds[kind]) },
-		end: func() { i.site.clusters[g].SetFaults(name, stand.DatabaseFaults{}) },
+		name: fmt.Sprintf("%s %s", name, kind), begin: func() { i.site.setFaults(g, name, kinds[kind]) },
+		end: func() { i.site.setFaults(g, name, stand.DatabaseFaults{}) },
 	}
 }
 
--- a/soak/orderfault.go
+++ b/soak/orderfault.go
@@ -62,12 +62,12 @@
 		name: fmt.Sprintf("primary of %s down", groupName(g)),
 		begin: func() {
 			if primary, _ = i.site.clusters[g].Primary(); primary != "" {
-				i.site.clusters[g].SetFaults(primary, stand.DatabaseFaults{Down: true})
+				i.site.setFaults(g, primary, stand.DatabaseFaults{Down: true})
 			}
 		},
 		end: func() {
 			if primary != "" {
-				i.site.clusters[g].SetFaults(primary, stand.DatabaseFaults{})
+				i.site.setFaults(g, primary, stand.DatabaseFaults{})
 			}
 		},
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -89,8 +89,12 @@
 	if s.config.OrderFaults {
 		orders := &injector{site: s, random: rand.New(rand.NewPCG(s.config.Seed, orderFaultStream))}
 		plan = append(plan, orders.planOrderFaults(s.config.For)...)
-		sort.SliceStable(plan, func(a, b int) bool { return plan[a].at < plan[b].at })
 	}
+	if s.config.AnswerFaults {
+		answers := &injector{site: s, random: rand.New(rand.NewPCG(s.config.Seed, answerFaultStream))}
+		plan = append(plan, answers.planAnswerFaults(s.config.For)...)
+	}
+	sort.SliceStable(plan, func(a, b int) bool { return plan[a].at < plan[b].at })
 	return plan
 }
 
@@ -145,9 +149,9 @@
 			proxy.Set(LinkFaults{})
 		}
 	}
-	for g, cluster := range s.clusters {
+	for g := range s.clusters {
 		for d := range domainCount {
-			cluster.SetFaults(model.InstanceName(fmt.Sprintf("i-%d-%d", g, d)), stand.DatabaseFaults{})
+			s.changeFaults(g, model.InstanceName(fmt.Sprintf("i-%d-%d", g, d)), func(f *stand.DatabaseFaults) { *f = stand.DatabaseFaults{} })
 		}
 	}
 }
--- a/soak/site.go
+++ b/soak/site.go
@@ -62,6 +62,8 @@
 	settingsVersion atomic.Int64
 	// balancer chooses the VMs of callers in runs of planned work; nil in others.
 	balancer *balancer
+	// databaseFaults holds the faults of the instances that are active now.
+	databaseFaults map[model.InstanceName]stand.DatabaseFaults
 	// unanswered is the number of violations that the check of answers found.
 	unanswered int
 	// ctx ends when the site is closed.
@@ -111,7 +113,7 @@
 	}
 	cluster := stand.NewCluster(stand.ClusterConfig{
 		Group: groupName(g), Instances: members, ReplicationLag: replicationLag, PromoteTime: 100 * time.Millisecond, StepDownDelay: time.Second,
-		FollowDelay: s.config.followDelay(), ServiceTime: 2 * time.Millisecond,
+		FollowDelay: s.config.followDelay(), ServiceTime: 2 * time.Millisecond, Seed: s.config.Seed + uint64(g)<<32,
 	})
 	cluster.OnChange(func(i model.Instance) { s.register(i) })
 	s.clusters = append(s.clusters, cluster)
