--- a/soak/answercheck.go
+++ b/soak/answercheck.go
@@ -28,8 +28,10 @@
 // checkAnswer checks that an answer can be that of its statement, and takes the state of the session from it. An error ends the session.
 func (c *caller) checkAnswer(id model.RequestID, sent sentStatement, a answer) error {
 	problem := answerProblem(c.state, id, sent.text, a)
-	state, _ := parseReady(a.ready)
-	c.state = state
+	if a.fault == "BADMSG" && c.state != stateFailed {
+		c.site.history.countRejected()
+	}
+	c.state, _ = parseReady(a.ready)
 	if problem != "" {
 		c.site.history.addViolation("mixed: %s sent %s %q and got %s", c.name, id, sent.text, problem)
 		return errSessionEnded
--- a/soak/answercheck_test.go
+++ b/soak/answercheck_test.go
@@ -164,6 +164,7 @@
 	answerNext("ERR BADMSG no\r\nREADY I -\r\n")
 	require.ErrorIs(t, c.set(), errSessionEnded)
 	require.Empty(t, c.values)
+	require.Equal(t, 1, c.site.history.rejected)
 	answerNext("DONE -\r\nREADY I -\r\n")
 	require.NoError(t, c.set())
 	require.Len(t, c.values, 1)
--- a/soak/history.go
+++ b/soak/history.go
@@ -61,6 +61,8 @@
 		kinds map[string]int
 		// outcomes counts the writes by their outcomes.
 		outcomes map[outcome]int
+		// rejected counts the statements that were answered as no statement of the protocol, outside failed transactions.
+		rejected int
 		// told holds what the callers were told of the statements that commit.
 		told map[model.RequestID]outcome
 		// unanswered holds the statements whose connection ended without a complete answer.
@@ -97,6 +99,13 @@
 	}
 }
 
+// countRejected counts a statement that was answered as no statement of the protocol.
+func (h *history) countRejected() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rejected++
+}
+
 // recordSent records a statement that is about to be sent.
 func (h *history) recordSent(id model.RequestID, a sentStatement) {
 	h.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -36,6 +36,8 @@
 	Kinds map[string]int
 	// Acknowledged, Refused and Unknown count the writes by the outcome that their callers were answered.
 	Acknowledged, Refused, Unknown int
+	// Rejected counts the statements of callers that were answered as no statement of the protocol, though all of them are.
+	Rejected int
 	// Unanswered counts the violations of the check of answers, also those beyond maxViolations.
 	Unanswered int
 	Orders     OrderCounts
@@ -251,7 +253,8 @@
 	defer s.history.mu.Unlock()
 	r := Report{
 		Violations: s.history.violations, Kinds: maps.Clone(s.history.kinds), Acknowledged: s.history.outcomes[outcomeAcked],
-		Refused: s.history.outcomes[outcomeRefused], Unknown: s.history.outcomes[outcomeUnknown], Unanswered: s.unanswered, Orders: orders,
+		Refused: s.history.outcomes[outcomeRefused], Unknown: s.history.outcomes[outcomeUnknown], Rejected: s.history.rejected,
+		Unanswered: s.unanswered, Orders: orders,
 	}
 	for _, f := range faults {
 		r.Faults = append(r.Faults, fmt.Sprintf("%6.2f s to %6.2f s  %s", f.at.Seconds(), (f.at+f.length).Seconds(), f.name))
@@ -259,6 +262,15 @@
 	return r
 }
 
+// Count returns the number of all violations, also of those that are not kept.
+func (r Report) Count() int {
+	count := 0
+	for _, n := range r.Kinds {
+		count += n
+	}
+	return count
+}
+
 // MakeDir returns a new directory for settings and logs below a parent; an empty parent is the system's directory for temporary files.
 func MakeDir(parent string, seed uint64) (string, error) {
 	return os.MkdirTemp(parent, fmt.Sprintf("soak-%d-", seed))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,5 +28,6 @@
 	require.NoError(t, err)
 	t.Logf("%d acknowledged, %d refused, %d open; faults %q", report.Acknowledged, report.Refused, report.Unknown, report.Faults)
 	require.Empty(t, report.Violations)
+	require.Zero(t, report.Rejected, "text that a message can hold must be accepted")
 	require.Positive(t, report.Acknowledged)
 }
