Soak: items with unusual values from the beginning

A VM that cuts or refuses the text of callers never writes it, so it never came back in a row, and the soak could not show an answer that is taken from the inside of a row. Each group has one item for each unusual text now, written past the VMs and acknowledged, which callers read in a part of the reads; the audit checks it like every other write.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -206,12 +206,13 @@
 	return c.checkRead(item, minValues, a)
 }
 
-// anyItem returns, with equal probability, the caller's own item or one of the newest items of the group.
+// anyItem returns, with equal probability, the caller's own item or one of the newest items of the group, and at times one of its stock.
 func (c *caller) anyItem() string {
-	if c.random.IntN(2) == 0 {
-		return c.item
+	item := c.item
+	if c.random.IntN(2) != 0 {
+		item = c.site.history.anyItem(c.route.group, c.random)
 	}
-	return c.site.history.anyItem(c.route.group, c.random)
+	return c.texts.choose(item, c.site.stock[c.route.group])
 }
 
 func (c *caller) minOwnValues(item string) int {
--- a/soak/site.go
+++ b/soak/site.go
@@ -48,7 +48,9 @@
 	orderListener *pausableListener
 	// instances holds the instances of all clusters, with the addresses that the proxies connect to.
 	instances []model.Instance
-	vms       []*process
+	// stock holds the items of each group that have values from the beginning.
+	stock map[model.GroupName][]string
+	vms   []*process
 	// storeProxies and orderProxies hold the paths of each VM to the store and to the promotion service, and instanceProxies the path of each
 	// failure domain to each instance.
 	storeProxies    []*Proxy
@@ -75,7 +77,9 @@
 
 // newSite starts a site. The result is never nil and has to be closed even after an error.
 func newSite(config Config) (*site, error) {
-	s := &site{config: config, history: newHistory(), rows: stand.NewRows(), orders: stand.NewOrders(config.Seed)}
+	s := &site{
+		config: config, history: newHistory(), rows: stand.NewRows(), orders: stand.NewOrders(config.Seed), stock: map[model.GroupName][]string{},
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	if err := s.serveOrders(); err != nil {
 		return s, err
@@ -124,7 +128,7 @@
 			return err
 		}
 	}
-	return nil
+	return s.addStock(cluster, members[g%domainCount])
 }
 
 func (s *site) replicate(cluster *stand.Cluster) {
--- a/soak/text.go
+++ b/soak/text.go
@@ -1,15 +1,13 @@
 package soak
 
-import (
-	"math/rand/v2"
-	"strings"
-)
+import "math/rand/v2"
 
 const (
 	// textStream separates the draws of callers' text from those of their statements, which stay the same for a seed.
 	textStream = 1 << 20
-	// One of plainTextShare texts holds nothing unusual, and one of preparedShare statements that could be prepared is.
-	plainTextShare, preparedShare = 2, 3
+	// One of plainTextShare texts holds nothing unusual, one of preparedShare statements that could be prepared is, and one of stockShare reads of
+	// any item is of the stock.
+	plainTextShare, preparedShare, stockShare = 2, 3, 6
 )
 
 var (
@@ -45,12 +43,16 @@
 	case 1, 2:
 		before = ""
 	}
-	result := before + core + behind
-	for strings.Contains(result, lineEnd) {
-		result = strings.ReplaceAll(result, lineEnd, "\n")
-	}
-	return result
+	return withoutLineEnds(before + core + behind)
 }
 
 // prepares reports whether the next statement is prepared.
 func (t *texts) prepares() bool { return t != nil && t.random.IntN(preparedShare) == 0 }
+
+// choose returns a given item or, in a part of the cases, one of the stock.
+func (t *texts) choose(item string, stock []string) string {
+	if t == nil || len(stock) == 0 || t.random.IntN(stockShare) > 0 {
+		return item
+	}
+	return stock[t.random.IntN(len(stock))]
+}
