--- a/soak/run.go
+++ b/soak/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -29,10 +30,14 @@
 type Report struct {
 	// Faults lists the faults in the order of their beginning, with their times.
 	Faults []string
-	// Violations lists the violated invariants, at most maxViolations.
+	// Violations lists the violated invariants, at most maxViolations of a check.
 	Violations []string
+	// Kinds counts the violations by the names of their checks, also those beyond maxViolations.
+	Kinds map[string]int
 	// Acknowledged, Refused and Unknown count the writes by the outcome that their callers were answered.
 	Acknowledged, Refused, Unknown int
+	// Rejected counts the statements of callers that were answered as no statement of the protocol, though all of them are.
+	Rejected int
 	// Unanswered counts the violations of the check of answers, also those beyond maxViolations.
 	Unanswered int
 	Orders     OrderCounts
@@ -86,15 +91,19 @@
 	if s.config.OrderFaults {
 		orders := &injector{site: s, random: rand.New(rand.NewPCG(s.config.Seed, orderFaultStream))}
 		plan = append(plan, orders.planOrderFaults(s.config.For)...)
-		sort.SliceStable(plan, func(a, b int) bool { return plan[a].at < plan[b].at })
 	}
+	if s.config.AnswerFaults {
+		answers := &injector{site: s, random: rand.New(rand.NewPCG(s.config.Seed, answerFaultStream))}
+		plan = append(plan, answers.planAnswerFaults(s.config.For)...)
+	}
+	sort.SliceStable(plan, func(a, b int) bool { return plan[a].at < plan[b].at })
 	return plan
 }
 
 func (s *site) newCaller(n int) *caller {
 	c := &caller{
 		site: s, name: fmt.Sprintf("s%d", n), random: rand.New(rand.NewPCG(s.config.Seed, uint64(n)+100)), team: teamBuilders, key: keyBuilders,
-		maxPause: maxPause,
+		texts: &texts{random: rand.New(rand.NewPCG(s.config.Seed, uint64(n)+textStream))}, maxPause: maxPause,
 	}
 	switch {
 	case s.config.PlannedOnly:
@@ -142,9 +151,9 @@
 			proxy.Set(LinkFaults{})
 		}
 	}
-	for g, cluster := range s.clusters {
+	for g := range s.clusters {
 		for d := range domainCount {
-			cluster.SetFaults(model.InstanceName(fmt.Sprintf("i-%d-%d", g, d)), stand.DatabaseFaults{})
+			s.changeFaults(g, model.InstanceName(fmt.Sprintf("i-%d-%d", g, d)), func(f *stand.DatabaseFaults) { *f = stand.DatabaseFaults{} })
 		}
 	}
 }
@@ -230,11 +239,11 @@
 	count := kept[v.id]
 	switch {
 	case v.outcome == outcomeAcked && count == 0:
-		s.history.addViolationLocked("lost: %s (%s) was acknowledged and is not kept", v.value, v.id)
+		s.history.addViolationLocked("lost: %q (%s) was acknowledged and is not kept", v.value, v.id)
 	case v.outcome == outcomeRefused && count > 0:
-		s.history.addViolationLocked("kept: %s (%s) was refused or rolled back and is kept", v.value, v.id)
+		s.history.addViolationLocked("kept: %q (%s) was refused or rolled back and is kept", v.value, v.id)
 	case count > 1:
-		s.history.addViolationLocked("twice: %s (%s) of %s is kept %d times", v.value, v.id, item, count)
+		s.history.addViolationLocked("twice: %q (%s) of %q is kept %d times", v.value, v.id, item, count)
 	}
 }
 
@@ -243,8 +252,9 @@
 	s.history.mu.Lock()
 	defer s.history.mu.Unlock()
 	r := Report{
-		Violations: s.history.violations, Acknowledged: s.history.outcomes[outcomeAcked], Refused: s.history.outcomes[outcomeRefused],
-		Unknown: s.history.outcomes[outcomeUnknown], Unanswered: s.unanswered, Orders: orders,
+		Violations: s.history.violations, Kinds: maps.Clone(s.history.kinds), Acknowledged: s.history.outcomes[outcomeAcked],
+		Refused: s.history.outcomes[outcomeRefused], Unknown: s.history.outcomes[outcomeUnknown], Rejected: s.history.rejected,
+		Unanswered: s.unanswered, Orders: orders,
 	}
 	for _, f := range faults {
 		r.Faults = append(r.Faults, fmt.Sprintf("%6.2f s to %6.2f s  %s", f.at.Seconds(), (f.at+f.length).Seconds(), f.name))
@@ -252,6 +262,15 @@
 	return r
 }
 
+// Count returns the number of all violations, also of those that are not kept.
+func (r Report) Count() int {
+	count := 0
+	for _, n := range r.Kinds {
+		count += n
+	}
+	return count
+}
+
 // MakeDir returns a new directory for settings and logs below a parent; an empty parent is the system's directory for temporary files.
 func MakeDir(parent string, seed uint64) (string, error) {
 	return os.MkdirTemp(parent, fmt.Sprintf("soak-%d-", seed))
--- a/soak/site.go
+++ b/soak/site.go
@@ -48,7 +48,9 @@
 	orderListener *pausableListener
 	// instances holds the instances of all clusters, with the addresses that the proxies connect to.
 	instances []model.Instance
-	vms       []*process
+	// stock holds the items of each group that have values from the beginning.
+	stock map[model.GroupName][]string
+	vms   []*process
 	// storeProxies and orderProxies hold the paths of each VM to the store and to the promotion service, and instanceProxies the path of each
 	// failure domain to each instance.
 	storeProxies    []*Proxy
@@ -62,6 +64,8 @@
 	settingsVersion atomic.Int64
 	// balancer chooses the VMs of callers in runs of planned work; nil in others.
 	balancer *balancer
+	// databaseFaults holds the faults of the instances that are active now.
+	databaseFaults map[model.InstanceName]stand.DatabaseFaults
 	// unanswered is the number of violations that the check of answers found.
 	unanswered int
 	// ctx ends when the site is closed.
@@ -73,7 +77,9 @@
 
 // newSite starts a site. The result is never nil and has to be closed even after an error.
 func newSite(config Config) (*site, error) {
-	s := &site{config: config, history: newHistory(), rows: stand.NewRows(), orders: stand.NewOrders(config.Seed)}
+	s := &site{
+		config: config, history: newHistory(), rows: stand.NewRows(), orders: stand.NewOrders(config.Seed), stock: map[model.GroupName][]string{},
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	if err := s.serveOrders(); err != nil {
 		return s, err
@@ -111,7 +117,7 @@
 	}
 	cluster := stand.NewCluster(stand.ClusterConfig{
 		Group: groupName(g), Instances: members, ReplicationLag: replicationLag, PromoteTime: 100 * time.Millisecond, StepDownDelay: time.Second,
-		FollowDelay: s.config.followDelay(), ServiceTime: 2 * time.Millisecond,
+		FollowDelay: s.config.followDelay(), ServiceTime: 2 * time.Millisecond, Seed: s.config.Seed + uint64(g)<<32,
 	})
 	cluster.OnChange(func(i model.Instance) { s.register(i) })
 	s.clusters = append(s.clusters, cluster)
@@ -122,7 +128,7 @@
 			return err
 		}
 	}
-	return nil
+	return s.addStock(cluster, members[g%domainCount])
 }
 
 func (s *site) replicate(cluster *stand.Cluster) {
@@ -168,7 +174,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return &checkedConn{InstanceConn: instanceConn, history: s.history, team: hello.Team, values: map[string]string{}}, nil
+				return newCheckedConn(instanceConn, s.history, hello.Team), nil
 			})
 			s.config.Log.Debug("connection ended", "instance", i.Name, "error", err)
 		}()
@@ -268,44 +274,3 @@
 		}
 	}
 }
-
-// domainStore is the store for the VMs of one failure domain: in it, instances have the addresses of the domain's own proxies.
-type domainStore struct {
-	store   model.RowStore
-	proxies map[model.InstanceName]*Proxy
-}
-
-func (r *domainStore) Rows(ctx context.Context, table model.TableName) (model.RowsPage, error) {
-	page, err := r.store.Rows(ctx, table)
-	return r.redirect(table, page), err
-}
-
-func (r *domainStore) Feed(ctx context.Context, table model.TableName, after int64, wait time.Duration) (model.RowsPage, error) {
-	page, err := r.store.Feed(ctx, table, after, wait)
-	return r.redirect(table, page), err
-}
-
-func (r *domainStore) Apply(ctx context.Context, change model.Change) (int64, error) {
-	return r.store.Apply(ctx, change)
-}
-
-// redirect replaces the addresses of instances in a page by those of the domain's proxies.
-func (r *domainStore) redirect(table model.TableName, page model.RowsPage) model.RowsPage {
-	if table != platform.TableInstances {
-		return page
-	}
-	rows := append([]model.StoredRow(nil), page.Rows...)
-	for i, row := range rows {
-		proxy := r.proxies[model.InstanceName(row.Key)]
-		instance, err := platform.DecodeInstance(row.Key, row.Value)
-		if proxy == nil || row.Removed || err != nil {
-			continue
-		}
-		instance.Address = proxy.Address()
-		if value, err := platform.EncodeInstance(instance); err == nil {
-			rows[i].Value = value
-		}
-	}
-	page.Rows = rows
-	return page
-}
