--- a/remote/server.go
+++ b/remote/server.go
@@ -116,6 +116,9 @@
 	if s.held == nil && s.leaving.Load() {
 		return Answer{Failure: FailureLeaving, Detail: "the VM with the connection stops"}
 	}
+	if s.held != nil && (s.held.Instance.Name != r.Instance || s.held.Team != r.Team) {
+		return Answer{Failure: FailureUnknown, Detail: "the stream has an open transaction of another team or at another instance"}
+	}
 	instance, known := s.config.LocalVM.Instance(r.Instance)
 	if !known {
 		return Answer{Failure: FailureUnknown, Detail: "the instance is not known to the VM with the connection"}
