--- a/conns/answers.go
+++ b/conns/answers.go
@@ -51,7 +51,7 @@
 func (a *answers) judge(q model.Query, state model.TxState, reply model.Reply) verdict {
 	possible := a.possible(q, state, reply)
 	switch {
-	case reply.Fault != "" && a.uncertain:
+	case reply.Fault != "" && a.uncertain && q.Commits:
 		return verdictAmbiguous
 	case reply.Fault != "":
 		return verdictAccepted
--- a/model/instanceconn.go
+++ b/model/instanceconn.go
@@ -41,6 +41,8 @@
 		Text string
 		// Since is the log position that the instance must have received; the zero position requires nothing.
 		Since Mark
+		// Commits is set if the statement may have a lasting effect, so that a refusal of it is a promise.
+		Commits bool
 		// Work is set if the statement reads or writes, so that its latency shows how well the instance performs.
 		Work bool
 	}
--- a/serve/statement.go
+++ b/serve/statement.go
@@ -11,6 +11,8 @@
 	command  model.Command
 	write    bool
 	prepared *model.Prepared
+	// commits is set if the statement may have a lasting effect by itself.
+	commits bool
 }
 
 // resolveStatement returns the statement of a command; for a prepared statement it looks the name up.
@@ -34,7 +36,9 @@
 
 // send runs the statement on a connection.
 func (c *callerSession) send(conn model.PooledConn, deadline time.Time, s statement, since model.Mark) (model.Reply, error) {
-	query := model.Query{ID: s.command.ID, Kind: s.command.Kind, Text: s.command.Text, Since: since, Work: s.command.Kind != model.CommandCommit}
+	query := model.Query{
+		ID: s.command.ID, Kind: s.command.Kind, Text: s.command.Text, Since: since, Commits: s.commits, Work: s.command.Kind != model.CommandCommit,
+	}
 	if s.prepared != nil {
 		return conn.Execute(deadline, c.session.Values, *s.prepared, query, s.command.Arguments)
 	}
--- a/serve/write.go
+++ b/serve/write.go
@@ -78,6 +78,7 @@
 		c.server.trackFailure(to.instance.Name, err)
 		return model.Reply{}, err
 	}
+	s.commits = step.MayCommit()
 	settled := true
 	if step.MayCommit() {
 		c.server.sent.begin(group)
