Logs: long values are cut

A line holds text of callers and instances: ids, details, errors. A message may be 1 MiB long, and its text made a line of up to 6 MiB.

--- a/commands/entry.go
+++ b/commands/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/crocusshore/crocusshore/config"
 	"github.com/crocusshore/crocusshore/entry"
+	"github.com/crocusshore/crocusshore/logs"
 )
 
 func entryCommand() *cli.Command {
@@ -53,5 +54,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return log.NewWithOptions(os.Stderr, log.Options{Level: parsed, ReportTimestamp: true, Formatter: log.LogfmtFormatter}), nil
+	return log.NewWithOptions(logs.CutValues(os.Stderr), log.Options{Level: parsed, ReportTimestamp: true, Formatter: log.LogfmtFormatter}), nil
 }
