Log: why an outcome is unknown, and why a message was refused

The line of a statement told only that the instance did not answer. Now it has the error of the last attempt that had no answer or no connection, whether the reply was cut off, timed out, or the VM with the connection failed.

Messages refused as invalid had no line at all, and the reason why one could not be read was dropped; it is in the line 'message refused' now. That of a first message was written with its text, at level debug. The text may hold the caller's key, if the message is not split by blanks, so it is left out.

--- a/serve/pick.go
+++ b/serve/pick.go
@@ -60,6 +60,7 @@
 // getConnection takes a connection of the team to the chosen instance and waits for it until an instant.
 func (c *callerSession) getConnection(now time.Time, op operation, to target, until time.Time) (model.PooledConn, error) {
 	if !c.server.config.Tracker.TakeAttempt(now, to.instance.Name) {
+		c.lastErr = errRecentlyFailed
 		return nil, errRecentlyFailed
 	}
 	request := conns.Request{
@@ -70,6 +71,9 @@
 	}
 	conn, err := c.server.config.Source.Get(now, request)
 	c.lastConn = conn
+	if err != nil {
+		c.lastErr = err
+	}
 	return conn, err
 }
 
--- a/serve/read.go
+++ b/serve/read.go
@@ -92,6 +92,7 @@
 	}
 	reply, err := c.send(conn, c.attemptDeadline(sentAt, c.deadline(op)), s, to.since)
 	if err != nil {
+		c.lastErr = err
 		c.server.trackFailure(to.instance.Name, err)
 		return attempt{err: err, sent: !errors.Is(err, model.ErrNotSent), retryAfter: c.retryAfter(op, to, err)}
 	}
--- a/serve/report.go
+++ b/serve/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/crocusshore/crocusshore/clock"
@@ -28,7 +29,28 @@
 	if instance != "" && c.lastConn != nil {
 		owner = c.lastConn.Owner()
 	}
-	c.server.config.Log.Info("statement", "id", command.ID, "kind", command.Kind, "route", op.route.Name, "team", op.team,
+	line := []any{
+		"id", command.ID, "kind", command.Kind, "route", op.route.Name, "team", op.team,
 		"policy", op.policyVersion, "admitted-by", op.decidedBy, "instance", instance, "owner", owner, "mark", reply.Mark, "attempts", attempts, "ms", latency.Milliseconds(),
-		"outcome", outcome, "detail", reply.Detail)
+		"outcome", outcome, "detail", reply.Detail,
+	}
+	if c.lastErr != nil {
+		line = append(line, "error", c.lastErr)
+	}
+	c.server.config.Log.Info("statement", line...)
+	c.reported, c.lastErr = true, nil
+}
+
+// reportRefused logs why a message of the caller was refused as invalid, unless the line of its statement does. The text of a message that could not
+// be read is left out.
+func (c *callerSession) reportRefused(command model.Command, reply model.Reply) {
+	if reply.Fault != model.FaultBadMessage || c.reported {
+		return
+	}
+	line := []any{"id", command.ID, "kind", command.Kind, "database", c.hello.Database, "state", c.session.State, "detail", reply.Detail}
+	if c.lastErr != nil {
+		line = append(line, "error", errors.Redact(c.lastErr))
+	}
+	c.server.config.Log.Info("message refused", line...)
+	c.lastErr = nil
 }
--- a/serve/session.go
+++ b/serve/session.go
@@ -25,6 +25,10 @@
 	tx      *transaction
 	// lastConn is the connection taken for the last statement.
 	lastConn model.PooledConn
+	// lastErr is the error of the last attempt that no instance answered, or of a message that could not be read; the next line of the log tells it.
+	lastErr error
+	// reported is set if the current statement has its line in the log.
+	reported bool
 
 	inTransaction atomic.Bool
 	owed          owedAnswer
@@ -59,10 +63,12 @@
 
 // notOpened answers a first message that opens no session.
 func (c *callerSession) notOpened(err error) {
-	c.server.config.Log.Debug("session not opened", "error", err)
 	if !errors.Is(err, model.ErrBadMessage) {
+		c.server.config.Log.Debug("session not opened", "error", err)
 		return
 	}
+	// The message is left out: it may hold the key of the caller.
+	c.server.config.Log.Info("session not opened", "error", errors.Redact(err))
 	if err := c.conn.Reject(model.FaultBadMessage, ""); err != nil {
 		c.server.config.Log.Debug("rejection not delivered", "error", err)
 	}
@@ -100,7 +106,9 @@
 			return
 		}
 		c.owed.begin(command, c.session.State)
+		c.reported = false
 		reply, last := c.handle(command)
+		c.reportRefused(command, reply)
 		if !c.owed.claim() {
 			return
 		}
@@ -122,6 +130,7 @@
 		command, err := c.conn.Next(c.readDeadline())
 		switch {
 		case errors.Is(err, model.ErrBadMessage):
+			c.lastErr = err
 			return model.Command{Kind: model.CommandInvalid}, nil
 		case !errors.Is(err, model.ErrInterrupted):
 			return command, err
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -73,6 +73,7 @@
 	}
 	reply, err := c.send(c.tx.conn, deadline, s, model.Mark{})
 	if err != nil {
+		c.lastErr = err
 		c.server.trackFailure(c.tx.target.instance.Name, err)
 		return model.Reply{Fault: sess.UnansweredFault(step, !clock.Now().Before(deadline)), Detail: "the instance did not answer"}
 	}
@@ -150,6 +151,7 @@
 	}
 	if err != nil || reply.Fault != "" {
 		c.server.trackFailure(to.instance.Name, err)
+		c.lastErr = err
 		c.server.config.Source.Put(clock.Now(), conn)
 		return attempt{reply: reply, err: err, retryAfter: c.slotRetryAfter(op, to, reply.Fault)}
 	}
--- a/serve/write.go
+++ b/serve/write.go
@@ -78,6 +78,7 @@
 	now := clock.Now()
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
+		c.lastErr = err
 		if errors.Is(err, model.ErrNotSent) {
 			return model.Reply{}, err
 		}
