Streams between VMs: an answer names its request

An owner that answered twice, or sent something unasked, had that taken for the answer to the next request of the stream: only their order tied answers to requests. Requests are numbered now, and an answer tells the number of its request; any other ends the stream, and the statement counts as unanswered.

An owner ran a request whose asker had left while the request waited for a connection. It looks at the stream now before it runs it.

--- a/remote/conn.go
+++ b/remote/conn.go
@@ -131,10 +131,18 @@
 	if err := c.stream.conn.SetDeadline(clock.Wall(deadline.Add(answerMargin))); err != nil {
 		return answer, err
 	}
+	c.stream.sequence++
+	r.Sequence = c.stream.sequence
 	if err := c.stream.send(r); err != nil {
 		return answer, err
 	}
-	return answer, c.stream.dec.Decode(&answer)
+	if err := c.stream.receive(&answer); err != nil {
+		return answer, err
+	}
+	if answer.To != r.Sequence {
+		return answer, errors.Newf("the answer to request %d of the stream came instead of that to request %d", answer.To, r.Sequence)
+	}
+	return answer, nil
 }
 
 // failure returns the error that a failed step would have had on a connection of this VM. It breaks the connection if the statement may have
--- a/remote/message.go
+++ b/remote/message.go
@@ -26,6 +26,8 @@
 		Query     model.Query
 		Prepared  *model.Prepared
 		Arguments string
+		// Sequence numbers the requests of a stream, from 1 on.
+		Sequence uint64
 	}
 
 	// Answer is the result of a request.
@@ -38,6 +40,8 @@
 		RetryAfter time.Duration
 		Reply      model.Reply
 		State      model.InstanceState
+		// To is the sequence number of the request. It has another name there, so that gob takes no request for an answer.
+		To uint64
 	}
 
 	// Failure is the reason why there is no answer of the instance; it is empty if there is one.
--- a/remote/server.go
+++ b/remote/server.go
@@ -47,6 +47,7 @@
 	// session is the state of one stream.
 	session struct {
 		*Server
+		stream *stream
 		// held is the connection with the open transaction of the stream.
 		held *conns.Conn
 	}
@@ -69,17 +70,18 @@
 		s.config.Log.Warn("stream of another VM rejected", "peer", conn.RemoteAddr(), "error", err)
 		return
 	}
-	current := &session{Server: s}
+	current := &session{Server: s, stream: stream}
 	defer current.end()
 	for {
 		var r Request
-		if err := stream.dec.Decode(&r); err != nil {
+		if err := stream.receive(&r); err != nil {
 			if !errors.Is(err, io.EOF) {
 				s.config.Log.Debug("stream of another VM ended", "peer", conn.RemoteAddr(), "error", err)
 			}
 			return
 		}
 		answer := current.step(clock.Now(), r)
+		answer.To = r.Sequence
 		if answer.Failure != "" {
 			s.config.Log.Info("request of another VM failed", "peer", conn.RemoteAddr(), "id", r.Query.ID, "instance", r.Instance,
 				"team", r.Team, "term", r.Term, "failure", answer.Failure, "detail", answer.Detail)
@@ -125,7 +127,7 @@
 		s.config.LocalVM.RecordFailure(instance.Name, err)
 		return notSent(err)
 	}
-	answer := s.run(now, conn, instance, r)
+	answer := s.runIfAwaited(now, conn, instance, r)
 	if !conn.Broken() && s.staysOpen(answer) {
 		s.held = conn
 		return answer
@@ -166,6 +168,15 @@
 	}
 }
 
+// runIfAwaited runs a request, unless the VM that sent it has gone: it sends nothing more before it has its answer, so that what can be read now is
+// the end of the stream.
+func (s *session) runIfAwaited(now time.Time, conn *conns.Conn, instance model.Instance, r Request) Answer {
+	if !s.stream.idle() {
+		return Answer{Failure: FailureBusy, Detail: "the VM that sent the request has gone"}
+	}
+	return s.run(now, conn, instance, r)
+}
+
 func (s *session) run(now time.Time, conn *conns.Conn, instance model.Instance, r Request) Answer {
 	deadline := now.Add(r.Limit)
 	if r.Status {
--- a/remote/stream.go
+++ b/remote/stream.go
@@ -19,10 +19,12 @@
 type stream struct {
 	conn net.Conn
 	raw  syscall.RawConn
-	in   *bufio.Reader
+	in   *limitedReader
 	out  *bufio.Writer
 	dec  *gob.Decoder
 	enc  *gob.Encoder
+	// sequence is the number of the last request that was sent.
+	sequence uint64
 }
 
 func newStream(conn net.Conn) (*stream, error) {
@@ -37,7 +39,7 @@
 	if err := tcp.SetKeepAliveConfig(keepAlive); err != nil {
 		return nil, err
 	}
-	s := &stream{conn: conn, raw: raw, in: bufio.NewReader(conn), out: bufio.NewWriter(conn)}
+	s := &stream{conn: conn, raw: raw, in: &limitedReader{r: bufio.NewReader(conn)}, out: bufio.NewWriter(conn)}
 	s.dec, s.enc = gob.NewDecoder(s.in), gob.NewEncoder(s.out)
 	return s, nil
 }
@@ -49,5 +51,11 @@
 	return s.out.Flush()
 }
 
+// receive waits for the next message, which is not longer than maxMessageBytes.
+func (s *stream) receive(message any) error {
+	s.in.left = maxMessageBytes
+	return s.dec.Decode(message)
+}
+
 // idle reports whether the stream is open and nothing waits to be read.
-func (s *stream) idle() bool { return s.in.Buffered() == 0 && sock.Idle(s.raw) }
+func (s *stream) idle() bool { return s.in.r.Buffered() == 0 && sock.Idle(s.raw) }
