Calls between VMs: an answer names its call

HTTP/1.1 ties an answer to its call by their order alone. An answer that came again when the next call was out counted for that one: a confirmation that a primary is not used any more, for another replacement. A call has a number now, which the answer repeats; an answer with another number is none. VMs of earlier versions repeat nothing, and their answers count as before.

--- a/peers/client.go
+++ b/peers/client.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,8 +19,12 @@
 	"github.com/crocusshore/crocusshore/state"
 )
 
-// dialTimeout bounds the dial of a connection to a peer, which is a few milliseconds away.
-const dialTimeout = 250 * time.Millisecond
+const (
+	// dialTimeout bounds the dial of a connection to a peer, which is a few milliseconds away.
+	dialTimeout = 250 * time.Millisecond
+	// headerCall numbers a call; the answer repeats it. HTTP/1.1 ties an answer to its call by their order alone.
+	headerCall = "X-Call"
+)
 
 // Client sends requests to other VMs over HTTP; it is safe for concurrent use.
 type Client struct {
@@ -49,11 +55,17 @@
 	if err != nil {
 		return answer, err
 	}
+	id := strconv.FormatUint(rand.Uint64(), 36)
+	httpRequest.Header.Set(headerCall, id)
 	response, err := c.http.Do(httpRequest)
 	if err != nil {
 		return answer, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	// A VM of an earlier version repeats nothing.
+	if to := response.Header.Get(headerCall); to != "" && to != id {
+		return answer, errors.Newf("peer %s answered another call", peer)
+	}
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
 	if err != nil {
 		return answer, err
--- a/peers/server.go
+++ b/peers/server.go
@@ -36,6 +36,7 @@
 // answer returns a handler that decodes a request from JSON and encodes the result of handle as JSON.
 func answer[Q, A any](logger *log.Logger, handle func(Q) A) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerCall, r.Header.Get(headerCall))
 		var request Q
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
 		if err == nil {
