Rate limits: granted tokens count once

A datagram may arrive twice, late, or without having been asked for. Granted tokens were added each time, up to the size of the bucket, so that a team could exceed its rate. Requests for tokens are numbered now, and tokens count once, for a request of the last two seconds. The numbers, also those of admission requests, begin at random: an answer to the process that ran at the address before could have that of a present request.

--- a/peers/ratelimiter.go
+++ b/peers/ratelimiter.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -33,6 +35,8 @@
 	tokenRequestInterval = 60 * time.Millisecond
 	// maxTokenRequests bounds the teams in one request for tokens, so that it fits in a datagram.
 	maxTokenRequests = 60
+	// tokenAnswerTime is how long after a request for tokens they may be granted; it is long for a datagram there and back.
+	tokenAnswerTime = 2 * time.Second
 )
 
 type (
@@ -59,6 +63,8 @@
 		lastID uint64
 		// pending holds the operations that wait for an answer, by the ID of the request.
 		pending map[uint64]chan share.Decision
+		// wanted holds when tokens were requested, by the ID of the request, until they are granted.
+		wanted map[uint64]time.Time
 		// skipUntil holds until when a VM that did not answer is skipped.
 		skipUntil map[model.VMID]time.Time
 	}
@@ -66,7 +72,12 @@
 
 // NewRateLimiter returns a rate limiter that does not listen or run yet.
 func NewRateLimiter(now time.Time, config RateLimiterConfig) *RateLimiter {
-	r := &RateLimiter{config: config, started: now, pending: map[uint64]chan share.Decision{}, skipUntil: map[model.VMID]time.Time{}}
+	r := &RateLimiter{
+		config: config, started: now,
+		pending: map[uint64]chan share.Decision{}, wanted: map[uint64]time.Time{}, skipUntil: map[model.VMID]time.Time{},
+	}
+	// Answers to an earlier process at this address may still arrive.
+	r.lastID = rand.Uint64()
 	r.transport = udpTransport{log: config.Log, handle: r.handle}
 	r.fallback = share.New(now, share.Config{Weight: func() float64 { return 1 }, Team: config.Team})
 	return r
@@ -222,7 +233,7 @@
 			}
 		}
 		for address, list := range requests {
-			r.transport.send(address, datagram{Wants: list[:min(len(list), maxTokenRequests)]})
+			r.transport.send(address, datagram{Wants: list[:min(len(list), maxTokenRequests)], WantsID: r.expectTokens(now)})
 		}
 	}
 }
@@ -242,10 +253,12 @@
 		r.config.Limiter.RecordReport(now, *message.Reported)
 	}
 	if len(message.Wants) > 0 {
-		r.grantTokens(now, from, message.Wants)
+		r.grantTokens(now, from, message)
 	}
-	for _, grant := range message.Loans {
-		r.config.Limiter.AddTokens(now, grant)
+	if len(message.Loans) > 0 && r.takeExpected(now, message.LoansFor) {
+		for _, grant := range message.Loans {
+			r.config.Limiter.AddTokens(now, grant)
+		}
 	}
 }
 
@@ -267,9 +280,28 @@
 	}
 }
 
-func (r *RateLimiter) grantTokens(now time.Time, from netip.AddrPort, requests []share.TokenTransfer) {
+// expectTokens returns the ID of a request for tokens that is sent now.
+func (r *RateLimiter) expectTokens(now time.Time) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.wanted, func(_ uint64, sentAt time.Time) bool { return now.Sub(sentAt) > tokenAnswerTime })
+	r.lastID++
+	r.wanted[r.lastID] = now
+	return r.lastID
+}
+
+// takeExpected reports whether tokens that are granted now were requested and not granted before. A datagram may arrive twice.
+func (r *RateLimiter) takeExpected(now time.Time, id uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sentAt, known := r.wanted[id]
+	delete(r.wanted, id)
+	return known && now.Sub(sentAt) <= tokenAnswerTime
+}
+
+func (r *RateLimiter) grantTokens(now time.Time, from netip.AddrPort, message datagram) {
 	var grants []share.TokenTransfer
-	for _, request := range requests {
+	for _, request := range message.Wants {
 		limits, known := r.config.Team(request.Team)
 		if !known {
 			continue
@@ -279,6 +311,6 @@
 		}
 	}
 	if len(grants) > 0 {
-		r.transport.send(from, datagram{Loans: grants})
+		r.transport.send(from, datagram{Loans: grants, LoansFor: message.WantsID})
 	}
 }
--- a/peers/udp.go
+++ b/peers/udp.go
@@ -33,6 +33,9 @@
 		Reported *share.Report         `json:",omitempty"`
 		Wants    []share.TokenTransfer `json:",omitempty"`
 		Loans    []share.TokenTransfer `json:",omitempty"`
+		// WantsID numbers token requests, and LoansFor is the number of those that the tokens are granted for.
+		WantsID  uint64 `json:",omitempty"`
+		LoansFor uint64 `json:",omitempty"`
 	}
 
 	// admissionRequest requests a decision on an operation of a team.
