--- a/node/command.go
+++ b/node/command.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/netip"
 	"os"
 	"runtime/debug"
@@ -59,17 +61,24 @@
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryLimit)))
 	}
-	reporter := prometheus.NewReporter(prometheus.Options{})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "crocusshore", Tags: map[string]string{"vm": string(settings.VM)}, CachedReporter: reporter,
-		Separator: prometheus.DefaultSeparator, SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
-	}, metricsInterval)
+	scope, handler, closer := newMetrics(settings.VM)
 	defer func() { _ = closer.Close() }()
 	n := New(Config{
-		Settings: settings, SettingsBody: body, SettingsPath: c.String("settings"), Signals: signals, Log: logger, Scope: scope, MetricsHandler: reporter.HTTPHandler(),
+		Settings: settings, SettingsBody: body, SettingsPath: c.String("settings"), Signals: signals, Log: logger, Scope: scope, MetricsHandler: handler,
 		Dialer: platform.Dialer{}, OpenRows: func() model.RowStore { return platform.NewStore(settings.Store) },
 		Promotions: platform.NewPromotions(settings.Promotions),
 		Metrics:    netip.AddrPortFrom(settings.Address, c.Uint16("metrics-port")),
 	})
 	return n.Run(ctx)
 }
+
+// newMetrics returns the root scope of the metrics of a VM, and the HTTP handler from which a collector reads them. Names keep only letters, digits
+// and underscores in them.
+func newMetrics(vm model.VMID) (tally.Scope, http.Handler, io.Closer) {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "crocusshore", Tags: map[string]string{"vm": string(vm)}, CachedReporter: reporter,
+		Separator: prometheus.DefaultSeparator, SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	return scope, reporter.HTTPHandler(), closer
+}
