Node: errors of the HTTP servers are in the log

They went to standard error as the HTTP servers format them: many lines for a panic, which no key leads to and no bound limits. They are lines of the log now, at level error. A shorter line in the test of the metrics.

--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -11,7 +11,9 @@
 )
 
 // metricPattern matches a line of the text format: a comment, or a metric with labels and a value.
-var metricPattern = regexp.MustCompile(`^(#.*|[a-zA-Z_:][a-zA-Z0-9_:]*(\{([a-zA-Z_][a-zA-Z0-9_]*="([^"\\\n]|\\.)*",?)*\})? [0-9.eE+-]+|[a-z_]+ (NaN|[+-]Inf))$`)
+var metricPattern = regexp.MustCompile(
+	`^(#.*|[a-zA-Z_:][a-zA-Z0-9_:]*(\{([a-zA-Z_][a-zA-Z0-9_]*="([^"\\\n]|\\.)*",?)*\})? [0-9.eE+-]+|[a-z_]+ (NaN|[+-]Inf))$`,
+)
 
 // TestNamesDoNotBreakTheMetrics guards against a name in the settings that ends a line or a label of the metrics.
 func TestNamesDoNotBreakTheMetrics(t *testing.T) {
--- a/node/ready.go
+++ b/node/ready.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocusshore/crocusshore/peers"
@@ -35,7 +36,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "listening on %s", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: n.config.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.ErrorLevel}),
+	}
 	go func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			n.config.Log.Error("HTTP server ended", "address", address, "error", err)
