--- a/remote/conn.go
+++ b/remote/conn.go
@@ -158,10 +158,15 @@
 	if err := c.stream.conn.SetDeadline(clock.Wall(deadline.Add(answerMargin))); err != nil {
 		return answer, err
 	}
+	c.stream.sequence++
+	r.Sequence = c.stream.sequence
 	if err := c.stream.send(r); err != nil {
 		return answer, err
 	}
-	return answer, c.stream.dec.Decode(&answer)
+	if err := c.stream.receive(&answer); err != nil {
+		return answer, err
+	}
+	return answer, c.stream.check(answer)
 }
 
 // failure returns the error that a failed step would have had on a connection of this VM. It breaks the connection if the statement may have
--- a/remote/message.go
+++ b/remote/message.go
@@ -28,6 +28,8 @@
 		Arguments string
 		// New asks for a connection that has not been used.
 		New bool
+		// Sequence numbers the requests of a stream, from 1 on.
+		Sequence uint64
 	}
 
 	// Answer is the result of a request.
@@ -42,6 +44,8 @@
 		State      model.InstanceState
 		// Ended is set if the connection to the instance was closed, and with it an open transaction.
 		Ended bool
+		// To is the sequence number of the request. It has another name there, so that gob takes no request for an answer.
+		To uint64
 	}
 
 	// Failure is the reason why there is no answer of the instance; it is empty if there is one.
--- a/serve/pick.go
+++ b/serve/pick.go
@@ -66,6 +66,7 @@
 // getConnection takes a connection of the team to the chosen instance.
 func (c *callerSession) getConnection(now time.Time, op operation, to target, need connectionNeed) (model.PooledConn, error) {
 	if !c.server.config.Tracker.TakeAttempt(now, to.instance.Name) {
+		c.lastErr = errRecentlyFailed
 		return nil, errRecentlyFailed
 	}
 	request := conns.Request{
@@ -77,6 +78,9 @@
 	}
 	conn, err := c.server.config.Source.Get(now, request)
 	c.lastConn = conn
+	if err != nil {
+		c.lastErr = err
+	}
 	return conn, err
 }
 
--- a/serve/read.go
+++ b/serve/read.go
@@ -88,6 +88,7 @@
 	defer func() { c.server.config.Source.Put(clock.Now(), conn) }()
 	deadline := c.attemptDeadline(clock.Now(), c.deadline(op))
 	if err := c.setup(conn, deadline, s); err != nil {
+		c.lastErr = err
 		c.server.trackFailure(to.instance.Name, err)
 		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
 	}
@@ -97,6 +98,7 @@
 	}
 	reply, err := c.send(conn, deadline, s, to.since)
 	if err != nil {
+		c.lastErr = err
 		c.server.trackFailure(to.instance.Name, err)
 		return attempt{err: err, sent: !errors.Is(err, model.ErrNotSent), retryAfter: c.retryAfter(op, to, err)}
 	}
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -68,6 +68,7 @@
 func (c *callerSession) sendInTransaction(deadline time.Time, s statement) model.Reply {
 	step := sess.Step{Kind: sess.StepInTransaction, Wrote: c.tx.wrote}
 	if err := c.setup(c.tx.conn, deadline, s); err != nil {
+		c.lastErr = err
 		c.server.trackFailure(c.tx.target.instance.Name, err)
 		return model.Reply{Fault: model.FaultAborted, Detail: "the instance did not take the values of the session"}
 	}
@@ -77,6 +78,7 @@
 	}
 	reply, err := c.send(c.tx.conn, deadline, s, model.Mark{})
 	if err != nil {
+		c.lastErr = err
 		c.server.trackFailure(c.tx.target.instance.Name, err)
 		return model.Reply{Fault: sess.UnansweredFault(step, !clock.Now().Before(deadline)), Detail: "the instance did not answer"}
 	}
@@ -153,6 +155,7 @@
 	}
 	deadline := c.attemptDeadline(clock.Now(), c.deadline(op))
 	if err := conn.Setup(deadline, c.session.Values, nil); err != nil {
+		c.lastErr = err
 		c.server.trackFailure(to.instance.Name, err)
 		c.server.config.Source.Put(clock.Now(), conn)
 		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
@@ -173,6 +176,7 @@
 	}
 	if err != nil || reply.Fault != "" {
 		c.server.trackFailure(to.instance.Name, err)
+		c.lastErr = err
 		c.server.config.Source.Put(clock.Now(), conn)
 		return attempt{reply: reply, err: err, retryAfter: c.slotRetryAfter(op, to, reply.Fault)}
 	}
--- a/serve/write.go
+++ b/serve/write.go
@@ -75,6 +75,7 @@
 	c.server.inflight.add(group, 1)
 	defer c.server.inflight.add(group, -1)
 	if err := c.setup(conn, deadline, s); err != nil {
+		c.lastErr = err
 		c.server.trackFailure(to.instance.Name, err)
 		return model.Reply{}, err
 	}
@@ -92,6 +93,7 @@
 	now := clock.Now()
 	if err != nil {
 		c.server.trackFailure(to.instance.Name, err)
+		c.lastErr = err
 		if errors.Is(err, model.ErrNotSent) {
 			return model.Reply{}, err
 		}
