--- a/remote/server.go
+++ b/remote/server.go
@@ -112,21 +112,9 @@
 			s.busy.Add(-1)
 		}
 	}()
-	if !r.Status && r.Query.Kind == "" {
-		return Answer{Failure: FailureLeaving, Detail: "the kind of the statement is missing; the VM that asks runs an older program"}
-	}
-	if s.held == nil && s.leaving.Load() {
-		return Answer{Failure: FailureLeaving, Detail: "the VM with the connection stops"}
-	}
-	if s.held != nil && (s.held.Instance.Name != r.Instance || s.held.Team != r.Team) {
-		return Answer{Failure: FailureUnknown, Detail: "the stream has an open transaction of another team or at another instance"}
-	}
-	instance, known := s.config.LocalVM.Instance(r.Instance)
-	if !known {
-		return Answer{Failure: FailureUnknown, Detail: "the instance is not known to the VM with the connection"}
-	}
-	if s.held == nil && !r.Status && !s.config.LocalVM.TakeAttempt(now, instance.Name) {
-		return Answer{Failure: FailureUnreachable, Detail: "the instance failed lately"}
+	instance, refusal := s.admit(now, r)
+	if refusal.Failure != "" {
+		return refusal
 	}
 	conn, err := s.connection(now, instance, r)
 	if err != nil {
@@ -144,6 +132,25 @@
 	return answer
 }
 
+// admit returns the instance of a request that may be run, or the refusal of one that may not.
+func (s *session) admit(now time.Time, r Request) (model.Instance, Answer) {
+	instance, known := s.config.LocalVM.Instance(r.Instance)
+	switch {
+	case !r.Status && r.Query.Kind == "":
+		return instance, Answer{Failure: FailureLeaving, Detail: "the kind of the statement is missing; the VM that asks runs an older program"}
+	case s.held != nil && (s.held.Instance.Name != r.Instance || s.held.Team != r.Team):
+		return instance, Answer{Failure: FailureUnknown, Detail: "the stream has an open transaction of another team or at another instance"}
+	case s.held == nil && s.leaving.Load():
+		return instance, Answer{Failure: FailureLeaving, Detail: "the VM with the connection stops"}
+	case !known:
+		return instance, Answer{Failure: FailureUnknown, Detail: "the instance is not known to the VM with the connection"}
+	case s.held == nil && !r.Status && !s.config.LocalVM.TakeAttempt(now, instance.Name):
+		return instance, Answer{Failure: FailureUnreachable, Detail: "the instance failed lately"}
+	default:
+		return instance, Answer{}
+	}
+}
+
 // staysOpen reports whether a transaction is open after a step; a step that sent nothing leaves that as it was.
 func (s *session) staysOpen(answer Answer) bool {
 	if answer.Failure != "" {
