--- a/conns/bucket.go
+++ b/conns/bucket.go
@@ -92,20 +92,23 @@
 	return grant{evict: b.remove(b.leastRecentlyUsed())}, true
 }
 
-// bestIdle returns the index of the idle connection that fits the request best, or -1.
+// bestIdle returns the index of the idle connection that fits the request best, or -1: one of the team with the same session values, any other of
+// the team or, if the request accepts that, of another team.
 func (b *bucket) bestIdle(request Request) int {
-	found := -1
+	found, other := -1, -1
 	for at := len(b.idle) - 1; at >= 0; at-- {
 		c := b.idle[at]
-		if c.Team != request.Team && !request.AnyTeam {
-			continue
-		}
-		if c.Matches(request.Values) || request.AnyTeam {
+		switch {
+		case c.Team != request.Team:
+			other = max(other, at)
+		case c.Matches(request.Values) || request.AnyTeam:
 			return at
+		default:
+			found = max(found, at)
 		}
-		if found < 0 {
-			found = at
-		}
+	}
+	if found < 0 && request.AnyTeam {
+		return other
 	}
 	return found
 }
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,8 +40,7 @@
 		q := queries[len(replies)]
 		switch v := c.answers.judge(q, c.state, reply); v {
 		case verdictAccepted:
-			c.accept(q, reply)
-			replies = append(replies, reply)
+			replies = append(replies, c.accept(q, reply))
 		case verdictRepeated:
 			repeated = true
 			c.report(q, reply, v)
@@ -65,20 +65,29 @@
 // next returns the next of the received answers, or reads one if there is none.
 func (c *Conn) next(deadline time.Time, received *[]model.Reply) (model.Reply, error) {
 	if len(*received) == 0 {
-		return c.instanceConn.Receive(clock.Wall(deadline))
+		reply, err := c.instanceConn.Receive(clock.Wall(deadline))
+		for errors.Is(err, model.ErrRepeatedGreeting) {
+			reply, err = c.instanceConn.Receive(clock.Wall(deadline))
+		}
+		return reply, err
 	}
 	reply := (*received)[0]
 	*received = (*received)[1:]
 	return reply, nil
 }
 
-func (c *Conn) accept(q model.Query, reply model.Reply) {
+// accept records an accepted reply and returns it. After an uncertain acknowledgement a fault may be older than its query, and so may its log position.
+func (c *Conn) accept(q model.Query, reply model.Reply) model.Reply {
 	c.state = reply.State
-	if reply.Fault != "" {
-		c.broken = true
-		return
+	if reply.Fault == "" {
+		c.answers.add(q, reply)
+		return reply
 	}
-	c.answers.add(q, reply)
+	c.broken = true
+	if c.answers.uncertain {
+		reply.Mark = model.Mark{}
+	}
+	return reply
 }
 
 // settle discards repetitions of earlier answers that arrived while none was due. Anything else that arrived breaks the connection.
@@ -89,20 +98,32 @@
 		if now.Before(deadline) {
 			reply, err = c.instanceConn.Receive(clock.Wall(earlier(deadline, now.Add(arrivedTimeout))))
 		}
-		if err == nil && c.answers.hadWhole(reply) {
+		switch {
+		case errors.Is(err, model.ErrRepeatedGreeting):
+		case err == nil && c.answers.hadWhole(reply):
 			c.report(model.Query{}, reply, verdictRepeated)
-			continue
-		}
-		c.broken = true
-		if err != nil {
-			return errors.Mark(err, model.ErrNotSent)
+		default:
+			c.broken = true
+			return errors.Mark(c.unasked(reply, err), model.ErrNotSent)
 		}
-		c.report(model.Query{}, reply, verdictUnasked)
-		return errors.Mark(errors.Wrapf(model.ErrUnmatched, "%s", verdictUnasked), model.ErrNotSent)
 	}
 	return nil
 }
 
+// unasked returns the error for what arrived while no answer was due. Half an answer is no evidence against the instance, unlike the end of the
+// connection.
+func (c *Conn) unasked(reply model.Reply, err error) error {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errors.Mark(err, model.ErrUnmatched)
+	case err != nil:
+		return err
+	default:
+		c.report(model.Query{}, reply, verdictUnasked)
+		return errors.Wrapf(model.ErrUnmatched, "%s", verdictUnasked)
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/conns/twice_test.go
+++ b/conns/twice_test.go
@@ -186,3 +186,25 @@
 	_, _ = setupAndRun(conn, in(time.Second), map[string]string{"a": "1", "b": "2"}, model.Query{ID: "1", Kind: model.CommandWrite, Text: "WRITE a b"})
 	require.NotContains(t, instance.texts(), "WRITE a b", "on a fresh connection, with a value that was refused")
 }
+
+// TestRepeatedAnswerToStartBeforeTheFirstStatementIsNoFailure guards against waits, and failures of instances, because START was answered twice at once.
+func TestRepeatedAnswerToStartBeforeTheFirstStatementIsNoFailure(t *testing.T) {
+	_, pool, request := newScripted(t, ready+ready, func(_ int, id, _ string) string {
+		return "DONE mac-" + id + "\r\nREADY I 1.8\r\n"
+	})
+	conn, err := pool.Get(clock.Now(), request)
+	require.NoError(t, err)
+	startedAt := clock.Now()
+	_, err = setupAndRun(conn, in(time.Second), nil, model.Query{ID: "1", Kind: model.CommandWrite, Text: "WRITE a b"})
+	require.NoError(t, err)
+	require.Less(t, clock.Now().Sub(startedAt), arrivedTimeout)
+}
+
+// TestRefusalOfAValueGivesNoPositionToTheReadAfterIt guards against stale reads: the instance wrote the position before the read was sent.
+func TestRefusalOfAValueGivesNoPositionToTheReadAfterIt(t *testing.T) {
+	_, conn := refusingValue(t)
+	reply, err := setupAndRun(conn, in(time.Second), map[string]string{"zone": "y"}, model.Query{ID: "2", Kind: model.CommandRead, Text: "WRITE a c"})
+	require.NoError(t, err)
+	require.Equal(t, model.FaultBusy, reply.Fault)
+	require.Zero(t, reply.Mark)
+}
--- a/model/instanceconn.go
+++ b/model/instanceconn.go
@@ -13,6 +13,8 @@
 	ErrNotSent = errors.New("nothing was sent to the instance")
 	// ErrUnmatched reports an answer that may be an earlier one of its connection once more, or cannot be the one to its statement.
 	ErrUnmatched = errors.New("the answer is not certainly that of the statement")
+	// ErrRepeatedGreeting reports that an instance accepted the connection once more, which is no answer.
+	ErrRepeatedGreeting = errors.New("the instance accepted the connection once more")
 	// ErrBadMessage reports a whole message of a caller that is none of the protocol; the following one can be read.
 	ErrBadMessage = errors.New("the message is not valid")
 	// ErrInterrupted reports that the wait for a caller's statement was interrupted.
@@ -67,7 +69,8 @@
 	InstanceConn interface {
 		// Exchange sends the queries in one write and returns their answers in order. After an error, each query without an answer may have run.
 		Exchange(deadline time.Time, queries ...Query) ([]Reply, error)
-		// Receive reads one more answer, in place of one that turned out to be a repetition.
+		// Receive reads one more answer, in place of one that turned out to be a repetition. It may return ErrRepeatedGreeting, after which it can be
+		// called again.
 		Receive(deadline time.Time) (Reply, error)
 		// Idle reports whether the connection is open and nothing waits to be read.
 		Idle() bool
--- a/peers/once_test.go
+++ b/peers/once_test.go
@@ -48,19 +48,34 @@
 	r.handle(now, owner, loan(0))
 	r.handle(now, owner, loan(77))
 	require.Zero(t, tokens(), "nothing was requested")
-	id := r.expectTokens(now)
+	id := r.expectTokens(now, owner)
 	r.handle(now, owner, loan(id))
 	r.handle(now, owner, loan(id))
 	require.Equal(t, 5, tokens())
 	r.handle(now, owner, loan(id))
 	require.Zero(t, tokens())
-	late := r.expectTokens(now)
-	_ = r.expectTokens(now.Add(2 * tokenAnswerTime))
+	late := r.expectTokens(now, owner)
+	_ = r.expectTokens(now.Add(2*tokenAnswerTime), owner)
 	r.handle(now.Add(2*tokenAnswerTime), owner, loan(late))
 	require.Zero(t, tokens(), "an answer that is late does not count")
 	require.LessOrEqual(t, len(r.wanted), 1, "requests without an answer are forgotten")
 }
 
+// TestTokensOfAnOlderProgramCount guards against operations refused as over the rate during an update: an older program takes the tokens out of its bucket
+// and grants them without a number.
+func TestTokensOfAnOlderProgramCount(t *testing.T) {
+	r, tokens := newLimiterWithTokens(t)
+	_ = tokens()
+	now, owner := clock.Now(), netip.MustParseAddrPort("127.0.0.1:7000")
+	_ = r.expectTokens(now, owner)
+	loan := datagram{Loans: []share.TokenTransfer{{VM: "b", Team: "team", Tokens: 5}}}
+	r.handle(now, netip.MustParseAddrPort("127.0.0.2:7000"), loan)
+	require.Zero(t, tokens(), "another VM was asked")
+	r.handle(now, owner, loan)
+	r.handle(now, owner, loan)
+	require.Equal(t, 5, tokens())
+}
+
 // TestAdmissionAnsweredTwiceCountsForOneOperation guards against the answer for one operation that admits another one, also one of the process that
 // ran at the address before.
 func TestAdmissionAnsweredTwiceCountsForOneOperation(t *testing.T) {
--- a/peers/ratelimiter.go
+++ b/peers/ratelimiter.go
@@ -40,6 +40,12 @@
 )
 
 type (
+	// tokenRequest is a request for tokens that was sent to a VM.
+	tokenRequest struct {
+		to     netip.AddrPort
+		sentAt time.Time
+	}
+
 	// RateLimiterConfig configures a RateLimiter.
 	RateLimiterConfig struct {
 		Self     model.VMID
@@ -63,8 +69,8 @@
 		lastID uint64
 		// pending holds the operations that wait for an answer, by the ID of the request.
 		pending map[uint64]chan share.Decision
-		// wanted holds when tokens were requested, by the ID of the request, until they are granted.
-		wanted map[uint64]time.Time
+		// wanted holds the requests for tokens that are not granted yet, by their ID.
+		wanted map[uint64]tokenRequest
 		// skipUntil holds until when a VM that did not answer is skipped.
 		skipUntil map[model.VMID]time.Time
 	}
@@ -74,7 +80,7 @@
 func NewRateLimiter(now time.Time, config RateLimiterConfig) *RateLimiter {
 	r := &RateLimiter{
 		config: config, started: now,
-		pending: map[uint64]chan share.Decision{}, wanted: map[uint64]time.Time{}, skipUntil: map[model.VMID]time.Time{},
+		pending: map[uint64]chan share.Decision{}, wanted: map[uint64]tokenRequest{}, skipUntil: map[model.VMID]time.Time{},
 	}
 	// Answers to an earlier process at this address may still arrive.
 	r.lastID = rand.Uint64()
@@ -233,7 +239,7 @@
 			}
 		}
 		for address, list := range requests {
-			r.transport.send(address, datagram{Wants: list[:min(len(list), maxTokenRequests)], WantsID: r.expectTokens(now)})
+			r.transport.send(address, datagram{Wants: list[:min(len(list), maxTokenRequests)], WantsID: r.expectTokens(now, address)})
 		}
 	}
 }
@@ -255,7 +261,7 @@
 	if len(message.Wants) > 0 {
 		r.grantTokens(now, from, message)
 	}
-	if len(message.Loans) > 0 && r.takeExpected(now, message.LoansFor) {
+	if len(message.Loans) > 0 && r.takeExpected(now, from, message.LoansFor) {
 		for _, grant := range message.Loans {
 			r.config.Limiter.AddTokens(now, grant)
 		}
@@ -281,24 +287,41 @@
 }
 
 // expectTokens returns the ID of a request for tokens that is sent now.
-func (r *RateLimiter) expectTokens(now time.Time) uint64 {
+func (r *RateLimiter) expectTokens(now time.Time, to netip.AddrPort) uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	maps.DeleteFunc(r.wanted, func(_ uint64, sentAt time.Time) bool { return now.Sub(sentAt) > tokenAnswerTime })
+	maps.DeleteFunc(r.wanted, func(_ uint64, request tokenRequest) bool { return request.isOver(now) })
 	r.lastID++
-	r.wanted[r.lastID] = now
+	r.wanted[r.lastID] = tokenRequest{to: to, sentAt: now}
 	return r.lastID
 }
 
-// takeExpected reports whether tokens that are granted now were requested and not granted before. A datagram may arrive twice.
-func (r *RateLimiter) takeExpected(now time.Time, id uint64) bool {
+// takeExpected reports whether tokens that are granted now were requested and not granted before. A datagram may arrive twice. An older program names
+// no request: its tokens are those of any request that was sent to it.
+func (r *RateLimiter) takeExpected(now time.Time, from netip.AddrPort, id uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sentAt, known := r.wanted[id]
+	if id == 0 {
+		id = r.anyRequestTo(from)
+	}
+	request, known := r.wanted[id]
 	delete(r.wanted, id)
-	return known && now.Sub(sentAt) <= tokenAnswerTime
+	return known && !request.isOver(now)
+}
+
+// anyRequestTo returns the ID of a request for tokens that was sent to an address, and 0 if there is none; the caller holds the lock.
+func (r *RateLimiter) anyRequestTo(address netip.AddrPort) uint64 {
+	for id, request := range r.wanted {
+		if request.to == address {
+			return id
+		}
+	}
+	return 0
 }
 
+// isOver reports whether no answer to the request is awaited any more.
+func (t tokenRequest) isOver(now time.Time) bool { return now.Sub(t.sentAt) > tokenAnswerTime }
+
 func (r *RateLimiter) grantTokens(now time.Time, from netip.AddrPort, message datagram) {
 	var grants []share.TokenTransfer
 	for _, request := range message.Wants {
--- a/peers/udp.go
+++ b/peers/udp.go
@@ -81,6 +81,6 @@
 			t.log.Warn("cannot decode datagram", "error", err)
 			continue
 		}
-		t.handle(clock.Now(), from, message)
+		t.handle(clock.Now(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), message)
 	}
 }
--- a/remote/conn.go
+++ b/remote/conn.go
@@ -185,6 +185,8 @@
 		return errors.Mark(&model.RefusedError{Fault: a.Fault, Detail: a.Detail}, model.ErrNotSent)
 	case FailureUnreachable:
 		return errors.Mark(errors.New(a.Detail), model.ErrNotSent)
+	case FailureUnasked:
+		return errors.Mark(errors.Mark(errors.New(a.Detail), model.ErrUnmatched), model.ErrNotSent)
 	case FailureUnmatched:
 		return errors.Mark(errors.Mark(errors.New(a.Detail), model.ErrUnmatched), model.ErrNoAnswer)
 	default:
--- a/remote/message.go
+++ b/remote/message.go
@@ -67,6 +67,8 @@
 	FailureUnreachable Failure = "Unreachable"
 	// FailureNoAnswer means that the statement was sent and may have run.
 	FailureNoAnswer Failure = "NoAnswer"
+	// FailureUnasked means that answers came that nothing had asked for, or may be earlier ones; the statement was not sent.
+	FailureUnasked Failure = "Unasked"
 	// FailureUnmatched means that the statement was sent and may have run, and that what came may be the answer to an earlier one.
 	FailureUnmatched Failure = "Unmatched"
 )
--- a/remote/server.go
+++ b/remote/server.go
@@ -174,7 +174,9 @@
 func notSent(err error) Answer {
 	refused, ok := model.Refused(err)
 	switch {
-	case errors.IsAny(err, conns.ErrBusy, model.ErrUnmatched):
+	case errors.Is(err, model.ErrUnmatched):
+		return Answer{Failure: FailureUnasked, Detail: err.Error()}
+	case errors.Is(err, conns.ErrBusy):
 		return Answer{Failure: FailureBusy, Detail: err.Error(), RetryAfter: conns.RetryAfter(err)}
 	case ok:
 		return Answer{Failure: FailureRefused, Fault: refused.Fault, Detail: refused.Detail}
--- a/serve/read.go
+++ b/serve/read.go
@@ -47,6 +47,11 @@
 		lastInstance = to.instance.Name
 		last = c.tryRead(now, op, s, to)
 		round.add(to.instance.Name, last)
+		if refused, ok := model.Refused(last.err); ok && !refused.Fault.NotRun() {
+			reply := refusedSetup(refused)
+			c.report(op, s.command, lastInstance, reply, attempts)
+			return reply
+		}
 		if last.err == nil && (last.reply.Fault == "" || !last.reply.Fault.NotRun()) {
 			reply := c.advise(op, sess.CallerReply(step, last.reply, true))
 			c.report(op, s.command, lastInstance, reply, attempts)
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -7,6 +7,7 @@
 
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/remote"
 	"github.com/crocusshore/crocusshore/sess"
 )
 
@@ -213,7 +214,11 @@
 	step := sess.Step{Kind: sess.StepCommit, Wrote: c.tx.wrote}
 	reply, err := c.sendPossibleCommit(c.tx.conn, op, statement{command: command}, c.tx.target, step, deadline)
 	if err != nil {
-		return model.Reply{Fault: model.FaultAborted, Detail: "the primary is being replaced"}
+		detail := "the commit was not sent"
+		if errors.IsAny(err, errLease, remote.ErrLease) {
+			detail = "the primary is being replaced"
+		}
+		return model.Reply{Fault: model.FaultAborted, Detail: detail}
 	}
 	if reply.Fault != "" || reply.State != model.TxNone {
 		c.tx.conn.Break()
--- a/stand/rows.go
+++ b/stand/rows.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -154,6 +156,7 @@
 	for _, row := range c.rows.rows[table] {
 		page.Rows = append(page.Rows, row)
 	}
+	slices.SortFunc(page.Rows, func(a, b model.StoredRow) int { return strings.Compare(a.Key, b.Key) })
 	return page, nil
 }
 
