--- a/conns/conn.go
+++ b/conns/conn.go
@@ -14,6 +14,9 @@
 // maxPrepared bounds the prepared statements of a connection; once it is reached, the connection is reset before its next statement.
 const maxPrepared = 200
 
+// ErrValuesRefused reports that an instance refused a session value or a prepared statement, so that the session's statement was not sent.
+var ErrValuesRefused = errors.New("the instance refused the values of the session")
+
 // Conn is a connection of a team to an instance, with the session values and prepared statements that are set on it.
 type Conn struct {
 	Instance model.Instance
@@ -83,7 +86,7 @@
 
 // Setup drops repetitions of earlier answers that have arrived, sets the values of a session on the connection and, if p is set, prepares a statement,
 // so that Run and Execute send nothing else. After an error the connection is broken, and nothing of the session's statement was sent; the error is
-// a *model.RefusedError if the instance refuses a value or the statement.
+// ErrValuesRefused if the instance refuses a value or the statement.
 func (c *Conn) Setup(deadline time.Time, values map[string]string, p *model.Prepared) error {
 	if err := c.settle(deadline); err != nil {
 		return err
@@ -98,7 +101,7 @@
 	}
 	for _, reply := range replies {
 		if reply.Fault != "" {
-			return errors.Mark(&model.RefusedError{Fault: reply.Fault, Detail: reply.Detail}, model.ErrNotSent)
+			return RefusedValues(reply.Fault, reply.Detail)
 		}
 	}
 	c.values = maps.Clone(values)
@@ -172,3 +175,9 @@
 	}
 	return len(c.prepared) >= maxPrepared
 }
+
+// RefusedValues returns an ErrValuesRefused with the refusal of the instance as a *model.RefusedError.
+func RefusedValues(fault model.Fault, detail string) error {
+	refused := &model.RefusedError{Fault: fault, Detail: detail}
+	return errors.Mark(errors.Mark(refused, ErrValuesRefused), model.ErrNotSent)
+}
--- a/remote/conn.go
+++ b/remote/conn.go
@@ -183,6 +183,8 @@
 		return errors.Mark(errors.Wrap(ErrLease, "reported by the owner of the connection"), model.ErrNotSent)
 	case FailureRefused:
 		return errors.Mark(&model.RefusedError{Fault: a.Fault, Detail: a.Detail}, model.ErrNotSent)
+	case FailureValues:
+		return conns.RefusedValues(a.Fault, a.Detail)
 	case FailureUnreachable:
 		return errors.Mark(errors.New(a.Detail), model.ErrNotSent)
 	case FailureUnasked:
--- a/remote/message.go
+++ b/remote/message.go
@@ -35,7 +35,7 @@
 	// Answer is the result of a request.
 	Answer struct {
 		Failure Failure
-		// Fault is the refusal of the instance if Failure is FailureRefused; Detail describes any failure.
+		// Fault is the refusal of the instance if Failure is FailureRefused or FailureValues; Detail describes any failure.
 		Fault  model.Fault
 		Detail string
 		// RetryAfter is the time after which a connection is expected, if Failure is FailureBusy; it is 0 if unknown.
@@ -63,6 +63,8 @@
 	FailureUnknown Failure = "Unknown"
 	// FailureRefused means that the instance refused a connection or a status request; no statement was sent.
 	FailureRefused Failure = "Refused"
+	// FailureValues means that the instance refused a value of the session or a prepared statement; the statement was not sent.
+	FailureValues Failure = "Values"
 	// FailureUnreachable means that no connection could be opened.
 	FailureUnreachable Failure = "Unreachable"
 	// FailureNoAnswer means that the statement was sent and may have run.
--- a/remote/server.go
+++ b/remote/server.go
@@ -178,6 +178,8 @@
 		return Answer{Failure: FailureUnasked, Detail: err.Error()}
 	case errors.Is(err, conns.ErrBusy):
 		return Answer{Failure: FailureBusy, Detail: err.Error(), RetryAfter: conns.RetryAfter(err)}
+	case errors.Is(err, conns.ErrValuesRefused) && ok:
+		return Answer{Failure: FailureValues, Fault: refused.Fault, Detail: refused.Detail}
 	case ok:
 		return Answer{Failure: FailureRefused, Fault: refused.Fault, Detail: refused.Detail}
 	default:
--- a/serve/read.go
+++ b/serve/read.go
@@ -47,8 +47,7 @@
 		lastInstance = to.instance.Name
 		last = c.tryRead(now, op, s, to)
 		round.add(to.instance.Name, last)
-		if refused, ok := model.Refused(last.err); ok && !refused.Fault.NotRun() {
-			reply := refusedSetup(refused)
+		if reply, final := finalRefusal(last.err); final {
 			c.report(op, s.command, lastInstance, reply, attempts)
 			return reply
 		}
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -116,8 +116,8 @@
 			c.tx.target = to
 			return model.Reply{}, true
 		}
-		if refused, ok := model.Refused(last.err); ok && !refused.Fault.NotRun() {
-			return refusedSetup(refused), false
+		if reply, final := finalRefusal(last.err); final {
+			return reply, false
 		}
 		c.server.config.Log.Debug("transaction not opened", "id", command.ID, "instance", to.instance.Name, "fault", last.reply.Fault, "error", last.err)
 	}
--- a/serve/write.go
+++ b/serve/write.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocusshore/crocusshore/clock"
+	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/remote"
 	"github.com/crocusshore/crocusshore/sess"
@@ -51,8 +52,8 @@
 
 // refuseNotSent returns the refusal of a write of which the primary received nothing because of err, and the time after which it may.
 func (c *callerSession) refuseNotSent(op operation, to target, err error) (refusal model.Reply, retryAfter time.Duration) {
-	if refused, ok := model.Refused(err); ok && !refused.Fault.NotRun() {
-		return refusedSetup(refused), 0
+	if reply, final := finalRefusal(err); final {
+		return reply, 0
 	}
 	reason := "the primary takes no connection"
 	if errors.IsAny(err, errLease, remote.ErrLease) {
@@ -62,10 +63,14 @@
 	return c.server.refuse(model.FaultBusy, reason, retryAfter), retryAfter
 }
 
-// refusedSetup returns the reply to a statement that was not sent because the instance refused a value or a prepared statement of the session, as it
-// would again.
-func refusedSetup(refused *model.RefusedError) model.Reply {
-	return model.Reply{Fault: model.FaultAborted, Detail: "the instance refused the values of the session: " + refused.Error()}
+// finalRefusal returns the reply to a statement that was not sent because the instance refused a value or a prepared statement of its session, and
+// whether it would do so again.
+func finalRefusal(err error) (reply model.Reply, final bool) {
+	refused, ok := model.Refused(err)
+	if !ok || !errors.Is(err, conns.ErrValuesRefused) || refused.Fault.NotRun() {
+		return model.Reply{}, false
+	}
+	return model.Reply{Fault: model.FaultAborted, Detail: conns.ErrValuesRefused.Error() + ": " + refused.Error()}, true
 }
 
 // sendPossibleCommit sends a statement that may commit; an error means that nothing was sent. Until it is settled what the statement
