Failover: only an order sent to an instance that did not lead is settled by its promotion

Cause: a run looked once for an instance that an earlier order had promoted.

Mended: every answer of an instance tells the term that it leads. One that leads the announced term ends the search, and the last check between record and sending orders nothing for it. So the state of a target proves an order only if the target did not lead after the order was recorded and no other one may be under way.

--- a/coord/compare.go
+++ b/coord/compare.go
@@ -22,7 +22,7 @@
 // A primary that still answers is demoted first, and a replica that has its full log takes over. Otherwise all replicas are
 // paused and compared. In both cases every lease on the old primary must have ended. choose returns errKept if the old primary stays the
 // primary. It returns errReturned if the old primary is back, so that the next run has to hand over from it, and errSuperseded if the record was
-// changed by another VM, whose decisions this one must not undo.
+// changed by another VM, whose decisions this one must not undo. It returns errPromoted and the instance if one of those compared leads already.
 func (r *replacement) choose(ctx context.Context) (model.Instance, error) {
 	if err := r.handOver(ctx); err != nil {
 		return model.Instance{}, err
@@ -32,7 +32,11 @@
 		if r.superseded() {
 			return model.Instance{}, errSuperseded
 		}
-		if chosen, ok := r.seekTarget(now); ok {
+		chosen, ok := r.seekTarget(now)
+		if promoted, found := elect.FindPromoted(r.replicas, r.record.Next.Term); found {
+			return promoted.Instance, errPromoted
+		}
+		if ok {
 			return chosen, nil
 		}
 		if r.mayKeep(now) {
@@ -140,6 +144,9 @@
 		"starts-settled", evidence.StartsSettled)
 }
 
+// errPromoted ends the search for a target, since an earlier order has promoted an instance.
+var errPromoted = errors.New("an instance leads the announced term already")
+
 // errSuperseded ends a run whose record was changed by another VM.
 var errSuperseded = errors.New("another VM continues the replacement")
 
@@ -162,7 +169,7 @@
 			reported, err := r.s.callInstance(instance, run)
 			mu.Lock()
 			defer mu.Unlock()
-			replicas = append(replicas, elect.Replica{Instance: instance, Paused: err == nil, PausedTerm: reported.Held, Received: reported.Received})
+			replicas = append(replicas, replicaOf(instance, reported, err))
 		})
 	}
 	wait.Wait()
@@ -170,6 +177,15 @@
 	return replicas
 }
 
+// replicaOf returns what the answer of an instance shows of it.
+func replicaOf(instance model.Instance, reported model.InstanceState, err error) elect.Replica {
+	replica := elect.Replica{Instance: instance, Paused: err == nil, PausedTerm: reported.Held, Received: reported.Received}
+	if err == nil && reported.Role == model.RolePrimary {
+		replica.Leads = reported.Term
+	}
+	return replica
+}
+
 // primariesByDomain counts the primaries of the other groups in each failure domain.
 func primariesByDomain(snapshot *state.Snapshot, except model.GroupName) map[model.Domain]int {
 	counts := map[model.Domain]int{}
--- a/coord/effect_test.go
+++ b/coord/effect_test.go
@@ -117,7 +117,8 @@
 	require.False(t, found, "it does not answer yet")
 	time.AfterFunc(retryInterval/2, func() { dialer.set("i-2", leadsTerm2) })
 	target, err := r.choose(t.Context())
-	require.Error(t, err, "%s leads already and is to be promoted", target.Name)
+	require.ErrorIs(t, err, errPromoted, "%s leads already and is to be promoted", target.Name)
+	require.Equal(t, model.InstanceName("i-2"), target.Name)
 }
 
 // TestEffectOfAnOrderSettlesIt guards against a lease that is kept for long after the only order was carried out and its answer lost.
--- a/coord/promote.go
+++ b/coord/promote.go
@@ -34,7 +34,10 @@
 	}
 }
 
-// order records and sends one order. It returns nil if the order may have been carried out; the status of the target will show it.
+// order records and sends one order. It returns nil if the target may have been promoted, which its status will show.
+//
+// The target is asked between the record and the sending. If it leads already, nothing is ordered: its state would be taken for the effect of an order
+// that is still under way. If it does not, a later promotion is the effect of this order, or of another one that may be under way.
 func (r *replacement) order(ctx context.Context, target model.Instance) error {
 	recorded, err := r.s.lease.recordOrder(ctx, r.lease.Fence, state.SentOrder{
 		Group: r.group, Kind: state.OrderPromote, Target: target.Name, Term: r.record.Next.Term,
@@ -42,7 +45,13 @@
 	if err != nil {
 		return err
 	}
-	if !r.isUnchanged(target) {
+	reported, err := r.s.status(target)
+	if replicaOf(target, reported, err).Leads >= r.record.Next.Term {
+		r.s.lease.settle(recorded)
+		r.s.config.Log.Info("promotion not ordered, the instance leads already", "group", r.group, "instance", target.Name, "term", reported.Term)
+		return nil
+	}
+	if err != nil || !r.isUnchanged(reported) {
 		r.s.lease.settle(recorded)
 		return errors.Newf("instance %s is not as it was when it was chosen", target.Name)
 	}
@@ -76,13 +85,9 @@
 	return err
 }
 
-// isUnchanged reports whether the target may still be promoted. It holds what it held when it was chosen: it has neither started again nor lost
+// isUnchanged reports whether the target may still be promoted, as its state shows. It holds what it held when it was chosen: it has neither started again nor lost
 // its pause. And either all VMs have released the old primary, or no replica has started again, which could confirm commits to a VM that has not.
-func (r *replacement) isUnchanged(target model.Instance) bool {
-	reported, err := r.s.status(target)
-	if err != nil {
-		return false
-	}
+func (r *replacement) isUnchanged(reported model.InstanceState) bool {
 	if reported.Held < r.record.Next.Term && (!r.handedOver || reported.Received.Before(r.final)) {
 		return false
 	}
@@ -133,6 +138,13 @@
 	return 0, errors.Newf("instance %s is not the primary of the new term yet", target.Name)
 }
 
+// completePromoted records the instance that an earlier order promoted.
+func (r *replacement) completePromoted(ctx context.Context, promoted model.Instance, term model.Term) error {
+	r.s.config.Log.Info("an earlier order was carried out", "group", r.group, "instance", promoted.Name, "term", term)
+	r.s.lease.recordCarriedOut(r.group)
+	return r.complete(ctx, promoted, term)
+}
+
 // complete records the new primary and demotes the old one.
 func (r *replacement) complete(ctx context.Context, target model.Instance, term model.Term) error {
 	if err := r.renew(ctx); err != nil {
--- a/coord/repeat_test.go
+++ b/coord/repeat_test.go
@@ -58,7 +58,7 @@
 			if c.released {
 				r.releases["a"] = elect.Release{VM: "a"}
 			}
-			require.Equal(t, c.unchanged, r.isUnchanged(holder.cache.Snapshot().Instances["i-2"]))
+			require.Equal(t, c.unchanged, r.isUnchanged(c.target))
 		})
 	}
 }
--- a/coord/replace.go
+++ b/coord/replace.go
@@ -121,13 +121,16 @@
 		return err
 	}
 	if target, term, found := r.findPromoted(); found {
-		r.s.lease.recordCarriedOut(r.group)
-		return r.complete(ctx, target, term)
+		return r.completePromoted(ctx, target, term)
 	}
 	target, err := r.choose(ctx)
 	if errors.Is(err, errKept) {
 		return r.keep(ctx)
 	}
+	if errors.Is(err, errPromoted) {
+		promoted, _ := elect.FindPromoted(r.replicas, r.record.Next.Term)
+		return r.completePromoted(ctx, promoted.Instance, promoted.Leads)
+	}
 	if err != nil {
 		return err
 	}
--- a/elect/choose.go
+++ b/elect/choose.go
@@ -15,7 +15,9 @@
 		Paused bool
 		// PausedTerm is the term for which the replica was paused, according to its own answer.
 		PausedTerm model.Term
-		Received   model.Mark
+		// Leads is the term that the instance leads, or 0 if it is a replica.
+		Leads    model.Term
+		Received model.Mark
 	}
 
 	// Release is the confirmation of a VM that it stopped using the old primary.
@@ -115,6 +117,17 @@
 	return acked, complete
 }
 
+// FindPromoted returns the instance that leads a term, or the latest later one.
+func FindPromoted(replicas []Replica, term model.Term) (Replica, bool) {
+	var promoted Replica
+	for _, r := range replicas {
+		if r.Leads >= term && r.Leads > promoted.Leads {
+			promoted = r
+		}
+	}
+	return promoted, promoted.Leads > 0
+}
+
 // AnyPaused reports whether at least one replica is paused.
 func AnyPaused(replicas []Replica) bool {
 	_, found := furthest(replicas)
