--- a/elect/orders_test.go
+++ b/elect/orders_test.go
@@ -23,16 +23,18 @@
 	orderRule struct {
 		name string
 		// waits keeps others from a lease with an order that may be under way, keeps holds a lease until its orders are settled, checks sends
-		// nothing after SendBy, sameToken renews under the same token, and counts waits for the answer to each order that was repeated.
-		waits, keeps, checks, sameToken, counts bool
+		// nothing after SendBy, sameToken renews under the same token, counts waits for the answer to each order that was repeated, and asks looks at
+		// the target between record and sending, and orders nothing if it leads already.
+		waits, keeps, checks, sameToken, counts, asks bool
 	}
 
 	simulatedRow struct {
 		holder, boot int
 		fence        int64
-		pending      bool
-		released     bool
-		version      int
+		// pending is set while an order is recorded, and repeated if it is not the only one.
+		pending, repeated bool
+		released          bool
+		version           int
 	}
 
 	simulatedVM struct {
@@ -46,14 +48,16 @@
 		// unsent is set while a recorded order is not sent, and settleBy is when the order cannot be under way any more.
 		unsent   bool
 		settleBy time.Time
-		// unanswered counts the orders without an answer, and answered is set once there was any answer.
-		unanswered int
-		answered   bool
+		// recorded counts the orders under this lease, unanswered those without an answer, and answered is set once there was any answer.
+		recorded, unanswered int
+		answered             bool
 	}
 
 	arrival struct {
 		at    time.Time
 		fence int64
+		// failure is the failure of the primary for which the target was ordered.
+		failure int
 		// sender and boot are the process to which the answer goes, unless it is lost.
 		sender, boot int
 		answerLost   bool
@@ -65,6 +69,7 @@
 		rule     orderRule
 		now      time.Time
 		row      simulatedRow
+		target   simulatedTarget
 		vms      []simulatedVM
 		arrivals []arrival
 		// seen is the highest token that the platform has seen, and taken counts the orders.
@@ -87,6 +92,7 @@
 func (s *orderSchedule) run() {
 	for end := s.now.Add(orderRunLength); s.now.Before(end) && !s.violated; s.now = s.now.Add(orderStep) {
 		s.take()
+		s.fail()
 		for i := range s.vms {
 			s.step(i)
 		}
@@ -104,6 +110,7 @@
 		s.violated = s.violated || a.fence < s.seen
 		s.seen = max(s.seen, a.fence)
 		s.taken++
+		s.target.leads = s.target.leads || a.failure == s.target.failure
 		if vm := &s.vms[a.sender]; vm.boot == a.boot && !a.answerLost {
 			vm.unanswered--
 			vm.answered = true
@@ -146,20 +153,26 @@
 	vm := &s.vms[i]
 	row := vm.observed
 	own := row.fence > 0 && !row.released && row.holder == i && row.boot == vm.boot
+	leads, _ := s.ask()
 	claim := LeaseClaim{
 		Released: row.released || row.version == 0, HeldHere: own, HolderEnded: row.fence > 0 && s.vms[row.holder].boot != row.boot,
-		OrderPending: row.pending && s.rule.waits, UnchangedSince: vm.observedSince,
+		OrderPending: row.pending && s.rule.waits && (row.repeated || !leads), UnchangedSince: vm.observedSince,
 	}
-	if !s.chance(10) || !MayClaim(s.now, claim) || row.version != s.row.version {
+	if !s.chance(10) || s.target.replaced || !MayClaim(s.now, claim) || row.version != s.row.version {
 		return
 	}
 	next := simulatedRow{holder: i, boot: vm.boot, fence: row.fence + 1, pending: true, version: row.version + 1}
 	if own && s.rule.sameToken {
 		next.fence = row.fence
 	}
+	if leads {
+		next.pending, next.released, s.target.replaced = false, true, true
+	}
 	s.row, vm.observed, vm.observedSince = next, next, s.now
-	vm.unanswered, vm.answered = 0, false
-	vm.record(s.now, next)
+	vm.recorded, vm.unanswered, vm.answered = 0, 0, false
+	if !leads {
+		vm.record(s.now, next)
+	}
 }
 
 // record records an order in a row that was written at an instant.
@@ -167,12 +180,14 @@
 	vm.held, vm.claimedAt, vm.unsent = row, now, true
 	vm.settleBy = SendBy(now).Add(OrderLifetime)
 	vm.unanswered++
+	vm.recorded++
 }
 
 // repeat records the order once more, if nobody has claimed the lease.
 func (s *orderSchedule) repeat(vm *simulatedVM) {
 	if s.row.version == vm.held.version {
 		s.row.version++
+		s.row.repeated = true
 		vm.record(s.now, s.row)
 	}
 }
@@ -184,7 +199,8 @@
 		return
 	}
 	vm.unsent = false
-	if s.rule.checks && !MayOrder(s.now, vm.claimedAt) {
+	leads, answers := s.ask()
+	if (s.rule.checks && !s.now.Before(SendBy(vm.claimedAt))) || (s.rule.asks && (leads || !answers)) {
 		vm.unanswered--
 		return
 	}
@@ -192,13 +208,14 @@
 	if s.chance(3) {
 		delay = s.draw(OrderLifetime)
 	}
-	s.arrivals = append(s.arrivals, arrival{at: s.now.Add(delay), fence: vm.held.fence, sender: i, boot: vm.boot, answerLost: s.chance(4)})
+	s.arrivals = append(s.arrivals, arrival{at: s.now.Add(delay), fence: vm.held.fence, failure: s.target.failure, sender: i, boot: vm.boot, answerLost: s.chance(4)})
 }
 
 // settle gives the lease up once its order is settled. A holder that only expects this too early gives it up after a second.
 func (s *orderSchedule) settle(vm *simulatedVM) {
 	gaveUp := !s.rule.keeps && s.now.Sub(vm.claimedAt) > time.Second
-	settled := vm.unanswered == 0 || (vm.answered && !s.rule.counts)
+	leads, _ := s.ask()
+	settled := vm.unanswered == 0 || (vm.answered && !s.rule.counts) || (leads && vm.recorded == 1)
 	if !settled && s.now.Before(vm.settleBy) && !gaveUp {
 		switch {
 		case !s.rule.sameToken && s.chance(20):
@@ -209,8 +226,9 @@
 		return
 	}
 	if s.row.version == vm.held.version {
-		s.row.released, s.row.pending = true, false
+		s.row.released, s.row.pending, s.row.repeated = true, false, false
 		s.row.version++
+		s.target.replaced = s.target.replaced || leads
 	}
 	vm.held = simulatedRow{}
 }
@@ -219,7 +237,7 @@
 func TestNoOrderComesUnderAnOlderToken(t *testing.T) {
 	taken := 0
 	for seed := range uint64(orderSchedules) {
-		s := newOrderSchedule(seed, orderRule{waits: true, keeps: true, checks: true, sameToken: true, counts: true})
+		s := newOrderSchedule(seed, orderRule{waits: true, keeps: true, checks: true, sameToken: true, counts: true, asks: true})
 		s.run()
 		require.False(t, s.violated, "seed %d", seed)
 		taken += s.taken
@@ -229,11 +247,12 @@
 
 func TestMissingPrecautionsOfOrdersAreDetected(t *testing.T) {
 	for _, rule := range []orderRule{
-		{name: "claims a lease with an order that may be under way", keeps: true, checks: true, sameToken: true, counts: true},
-		{name: "gives the lease up while an order may be under way", waits: true, checks: true, sameToken: true, counts: true},
-		{name: "sends an order after a stop", waits: true, keeps: true, sameToken: true, counts: true},
-		{name: "renews under a higher token", waits: true, keeps: true, checks: true, counts: true},
-		{name: "takes an answer for that to each order", waits: true, keeps: true, checks: true, sameToken: true},
+		{name: "claims a lease with an order that may be under way", keeps: true, checks: true, sameToken: true, counts: true, asks: true},
+		{name: "gives the lease up while an order may be under way", waits: true, checks: true, sameToken: true, counts: true, asks: true},
+		{name: "sends an order after a stop", waits: true, keeps: true, sameToken: true, counts: true, asks: true},
+		{name: "renews under a higher token", waits: true, keeps: true, checks: true, counts: true, asks: true},
+		{name: "takes an answer for that to each order", waits: true, keeps: true, checks: true, sameToken: true, asks: true},
+		{name: "orders what an earlier order has carried out", waits: true, keeps: true, checks: true, sameToken: true, counts: true},
 	} {
 		t.Run(rule.name, func(t *testing.T) {
 			found := false
