Coord: failing test of a run that ends before the effect of its answered order

Found by the model: an order takes effect some hundred ms after its answer. A holder that gives the lease up in between (its process is told to stop, or its run takes too long) leaves an effect that the next holder's order is judged by. One more precaution of the model; left out, it is found.

--- a/coord/effect_test.go
+++ b/coord/effect_test.go
@@ -27,8 +27,10 @@
 
 	pausableConn struct{ statusConn }
 
-	// silentPromotions holds every order and never answers it.
+	// silentPromotions holds every order and never answers it, unless answers is set.
 	silentPromotions struct {
+		answers bool
+
 		mu     sync.Mutex
 		orders []model.PromoteOrder
 		// onOrder runs when an order has come.
@@ -62,6 +64,9 @@
 	if p.onOrder != nil {
 		p.onOrder()
 	}
+	if p.answers {
+		return nil
+	}
 	<-ctx.Done()
 	return model.ErrUncertain
 }
@@ -131,3 +136,19 @@
 	require.Equal(t, 1, promotions.count())
 	require.Eventually(t, func() bool { return !r.s.lease.isPending("g") }, time.Second, time.Millisecond)
 }
+
+// TestRunThatIsEndedAwaitsTheEffectOfItsOrder guards against an order of the next holder that is settled by the promotion of this one: the run was ended
+// between the answer to its order and the promotion, and the lease given up.
+func TestRunThatIsEndedAwaitsTheEffectOfItsOrder(t *testing.T) {
+	dialer := &changingDialer{states: map[model.InstanceName]model.InstanceState{"i-2": pausedForTerm2, "i-3": pausedForTerm2}}
+	r, promotions := newResumedRun(t, dialer)
+	promotions.answers = true
+	ctx, end := context.WithCancel(t.Context())
+	promotions.onOrder = func() {
+		time.AfterFunc(200*time.Millisecond, func() { dialer.set("i-2", leadsTerm2) })
+		end()
+	}
+	term, err := r.promote(ctx, r.s.config.Cache.Snapshot().Instances["i-2"])
+	require.NoError(t, err)
+	require.Equal(t, leadsTerm2.Term, term)
+}
--- a/elect/orders_test.go
+++ b/elect/orders_test.go
@@ -25,7 +25,8 @@
 		// waits keeps others from a lease with an order that may be under way, keeps holds a lease until its orders are settled, checks sends
 		// nothing after SendBy, sameToken renews under the same token, counts waits for the answer to each order that was repeated, and asks looks at
 		// the target between record and sending, and orders nothing if it leads already.
-		waits, keeps, checks, sameToken, counts, asks bool
+		// awaits keeps the lease after an answer until the effect of the order shows.
+		waits, keeps, checks, sameToken, counts, asks, awaits bool
 	}
 
 	simulatedRow struct {
@@ -51,6 +52,7 @@
 		// recorded counts the orders under this lease, unanswered those without an answer, and answered is set once there was any answer.
 		recorded, unanswered int
 		answered             bool
+		answeredAt           time.Time
 	}
 
 	arrival struct {
@@ -110,13 +112,14 @@
 		s.violated = s.violated || a.fence < s.seen
 		s.seen = max(s.seen, a.fence)
 		s.taken++
-		s.target.leads = s.target.leads || a.failure == s.target.failure
+		s.target.take(a.failure, s.now.Add(s.draw(maxEffectDelay)))
 		if vm := &s.vms[a.sender]; vm.boot == a.boot && !a.answerLost {
 			vm.unanswered--
-			vm.answered = true
+			vm.answered, vm.answeredAt = true, s.now
 		}
 	}
 	s.arrivals = rest
+	s.target.update(s.now)
 }
 
 // step lets one VM act, unless it is stopped. It may be killed or stopped at any step.
@@ -216,6 +219,9 @@
 	gaveUp := !s.rule.keeps && s.now.Sub(vm.claimedAt) > time.Second
 	leads, _ := s.ask()
 	settled := vm.unanswered == 0 || (vm.answered && !s.rule.counts) || (leads && vm.recorded == 1)
+	if s.rule.awaits && vm.answered && !leads && s.now.Sub(vm.answeredAt) < effectTimeout {
+		return
+	}
 	if !settled && s.now.Before(vm.settleBy) && !gaveUp {
 		switch {
 		case !s.rule.sameToken && s.chance(20):
@@ -237,7 +243,7 @@
 func TestNoOrderComesUnderAnOlderToken(t *testing.T) {
 	taken := 0
 	for seed := range uint64(orderSchedules) {
-		s := newOrderSchedule(seed, orderRule{waits: true, keeps: true, checks: true, sameToken: true, counts: true, asks: true})
+		s := newOrderSchedule(seed, orderRule{waits: true, keeps: true, checks: true, sameToken: true, counts: true, asks: true, awaits: true})
 		s.run()
 		require.False(t, s.violated, "seed %d", seed)
 		taken += s.taken
@@ -247,12 +253,13 @@
 
 func TestMissingPrecautionsOfOrdersAreDetected(t *testing.T) {
 	for _, rule := range []orderRule{
-		{name: "claims a lease with an order that may be under way", keeps: true, checks: true, sameToken: true, counts: true, asks: true},
-		{name: "gives the lease up while an order may be under way", waits: true, checks: true, sameToken: true, counts: true, asks: true},
-		{name: "sends an order after a stop", waits: true, keeps: true, sameToken: true, counts: true, asks: true},
-		{name: "renews under a higher token", waits: true, keeps: true, checks: true, counts: true, asks: true},
-		{name: "takes an answer for that to each order", waits: true, keeps: true, checks: true, sameToken: true, asks: true},
-		{name: "orders what an earlier order has carried out", waits: true, keeps: true, checks: true, sameToken: true, counts: true},
+		{name: "claims a lease with an order that may be under way", keeps: true, checks: true, sameToken: true, counts: true, asks: true, awaits: true},
+		{name: "gives the lease up while an order may be under way", waits: true, checks: true, sameToken: true, counts: true, asks: true, awaits: true},
+		{name: "sends an order after a stop", waits: true, keeps: true, sameToken: true, counts: true, asks: true, awaits: true},
+		{name: "renews under a higher token", waits: true, keeps: true, checks: true, counts: true, asks: true, awaits: true},
+		{name: "takes an answer for that to each order", waits: true, keeps: true, checks: true, sameToken: true, asks: true, awaits: true},
+		{name: "orders what an earlier order has carried out", waits: true, keeps: true, checks: true, sameToken: true, counts: true, awaits: true},
+		{name: "gives the lease up before the effect of an answered order shows", waits: true, keeps: true, checks: true, sameToken: true, counts: true, asks: true},
 	} {
 		t.Run(rule.name, func(t *testing.T) {
 			found := false
