--- a/coord/promote.go
+++ b/coord/promote.go
@@ -23,7 +23,7 @@
 		if err := r.order(ctx, target); err != nil {
 			return 0, errors.Wrap(err, "promoting")
 		}
-		term, err := r.awaitPromotion(ctx, target)
+		term, err := r.awaitPromotion(target)
 		if err == nil {
 			r.s.lease.recordCarriedOut(r.group)
 			return term, nil
@@ -123,17 +123,17 @@
 	return nil
 }
 
-// awaitPromotion waits until the target reports that it is the primary of the announced term or a later one, and returns its term.
-func (r *replacement) awaitPromotion(ctx context.Context, target model.Instance) (model.Term, error) {
+// awaitPromotion waits until the target reports that it is the primary of the announced term or a later one, and returns its term. It does so also
+// after the run was ended: the lease must not be given up between the answer to an order and the promotion, which would be taken for the effect of the
+// next holder's order.
+func (r *replacement) awaitPromotion(target model.Instance) (model.Term, error) {
 	until := clock.Now().Add(promotionTimeout)
 	for clock.Now().Before(until) {
 		reported, err := r.s.status(target)
 		if err == nil && reported.Role == model.RolePrimary && reported.Term >= r.record.Next.Term {
 			return reported.Term, nil
 		}
-		if !retry.Sleep(ctx, pollInterval) {
-			break
-		}
+		time.Sleep(pollInterval)
 	}
 	return 0, errors.Newf("instance %s is not the primary of the new term yet", target.Name)
 }
