Failover: an order is sent within a second of its record, so others wait 11 s for an order of a lost process

Others waited for the end of the lease (4.5 s) and of the order's lifetime (10 s). But the row of the lease changes with each order that is recorded, and an order is sent milliseconds after that or not at all: the time in which it may be sent is now 1 s from the call that records it, checked at the write as before. Ruled out: a shorter lifetime; no page says for how long an order may lie on its way.

The test of the bound failed before (15.5 s).

--- a/elect/lease.go
+++ b/elect/lease.go
@@ -9,12 +9,14 @@
 	takeoverDelay = 6 * time.Second
 	// minOrderTime is the time that must be left of the lease when an order is sent, and how long the lease of a process that has ended is left alone.
 	minOrderTime = 1300 * time.Millisecond
+	// orderSendTime is how long after the call that records it an order may be sent. It spans the call and the last check of the replicas.
+	orderSendTime = time.Second
 	// OrderLifetime is how long after its sending an order that was not answered may still be carried out: it may lie in the queues of both
 	// kernels and of the platform.
 	OrderLifetime = 10 * time.Second
-	// pendingOrderDelay is how long a lease with an order that may be under way must be unchanged before another VM claims it: the last order under
-	// it is sent within coordinatorTTL of the row's last change.
-	pendingOrderDelay = coordinatorTTL + OrderLifetime
+	// pendingOrderDelay is how long a lease with an order that may be under way must be unchanged before another VM claims it: the row changes with
+	// each order, and the last one is sent within orderSendTime of that.
+	pendingOrderDelay = orderSendTime + OrderLifetime
 )
 
 // LeaseClaim is the state of the coordinator lease as observed by a VM that wants to claim it.
@@ -46,11 +48,13 @@
 	return now.Sub(c.UnchangedSince) >= delay
 }
 
-// SendBy returns the instant until which an order may be sent under a lease that was claimed or renewed by a call sent at claimedAt.
-func SendBy(claimedAt time.Time) time.Time { return claimedAt.Add(coordinatorTTL - minOrderTime) }
+// SendBy returns the instant until which an order may be sent that was recorded by a call sent at recordedAt.
+func SendBy(recordedAt time.Time) time.Time { return recordedAt.Add(orderSendTime) }
 
-// MayOrder reports whether an order may still be sent under a lease that was claimed or renewed by a call sent at claimedAt.
-func MayOrder(now, claimedAt time.Time) bool { return now.Before(SendBy(claimedAt)) }
+// MayOrder reports whether an order may still be recorded under a lease that was claimed or renewed by a call sent at claimedAt.
+func MayOrder(now, claimedAt time.Time) bool {
+	return now.Before(claimedAt.Add(coordinatorTTL - minOrderTime))
+}
 
 // MayUse reports whether a lease that was claimed or renewed by a call sent at claimedAt is still valid.
 func MayUse(now, claimedAt time.Time) bool {
