Failover: a process that starts again takes over the lease and the orders of its VM

To the platform the holder is the VM. So a process whose registration shows that the one before it has ended continues under the same token: an order that is still under way comes under no older one. It takes over the recorded orders, keeps the lease until they are settled, and orders no other instance for their groups. The replicas are compared anew, and the instance that was ordered is ordered again if it holds as much as the one that would be chosen; an earlier order for it does no more than the next one. Orders that the instances show as carried out are not taken over.

Ruled out: ordering the same instance from another VM under a higher token (the late order comes under an older one).

--- a/coord/lease.go
+++ b/coord/lease.go
@@ -70,13 +70,13 @@
 	if l.held.Version > row.Version {
 		row = l.held // The cache does not have the last write of this process yet.
 	}
-	own := l.isOwn(row)
+	own, inherited := l.isOwn(row), l.isInherited(row)
 	if own && row.Version == l.held.Version && elect.MayOrder(now, l.claimedAt) {
 		l.users++
 		return l.held, nil
 	}
 	wanted := elect.LeaseClaim{
-		Released: row.Released || row.Version == 0, HeldHere: own, HolderEnded: holderEnded(l.cache.Snapshot(), row),
+		Released: row.Released || row.Version == 0, HeldHere: own || inherited, HolderEnded: holderEnded(l.cache.Snapshot(), row),
 		OrderPending: len(row.Orders) > 0 && row.Version != l.settledVersion, UnchangedSince: l.unchangedSince,
 	}
 	if !elect.MayClaim(now, wanted) {
@@ -85,9 +85,15 @@
 		}
 		return state.CoordinatorLease{}, errLeaseHeld
 	}
+	var orders []recordedOrder
+	if inherited {
+		orders = l.inheritOrders(ctx, row)
+	}
 	if err := l.write(ctx, now, l.next(row)); err != nil {
+		l.dropOrders(orders)
 		return state.CoordinatorLease{}, err
 	}
+	l.settleInherited(orders)
 	l.users++
 	return l.held, nil
 }
@@ -97,11 +103,11 @@
 	return row.Fence > 0 && !row.Released && row.Holder == l.self && row.Boot == l.boot
 }
 
-// next returns the row of the next claim or renewal. The token stays the same as long as no other process held the lease in between, so that an
-// order of this process which is late does not come under an older token.
+// next returns the row of the next claim or renewal. The token stays the same as long as no other VM held the lease in between, so that an order of
+// this VM which is late does not come under an older token.
 func (l *coordinatorLease) next(row state.CoordinatorLease) state.CoordinatorLease {
 	next := state.CoordinatorLease{Holder: l.self, Boot: l.boot, Fence: row.Fence + 1, Version: row.Version, Orders: l.pending()}
-	if l.isOwn(row) {
+	if row.Holder == l.self && row.Fence > 0 && !row.Released {
 		next.Fence, next.Renewals = row.Fence, row.Renewals+1
 	}
 	return next
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -37,27 +37,31 @@
 	if l.held.Fence != fence || l.held.Released {
 		return recordedOrder{}, errors.Wrap(errLeaseHeld, "the lease was lost")
 	}
-	if l.orders == nil {
-		l.orders = map[int]pendingOrder{}
-	}
-	l.orderCount++
-	recorded := recordedOrder{number: l.orderCount}
 	order.Repeated = l.markRepeated(order)
-	l.orders[recorded.number] = pendingOrder{SentOrder: order}
 	now := clock.Now()
+	recorded := l.keepOrder(ctx, order, elect.SendBy(now).Add(elect.OrderLifetime))
 	if err := l.write(ctx, now, l.next(l.held)); err != nil {
-		delete(l.orders, recorded.number)
+		l.dropOrders([]recordedOrder{recorded})
 		return recordedOrder{}, err
 	}
 	recorded.sendBy = elect.SendBy(now)
-	lifetime := recorded.sendBy.Add(elect.OrderLifetime).Sub(clock.Now())
-	var carriedOut context.CancelFunc
-	recorded.ctx, carriedOut = context.WithTimeout(context.WithoutCancel(ctx), lifetime)
-	l.orders[recorded.number] = pendingOrder{SentOrder: order, carriedOut: carriedOut}
 	l.users++
 	return recorded, nil
 }
 
+// keepOrder keeps an order that may be under way until an instant; the caller holds the lock.
+func (l *coordinatorLease) keepOrder(ctx context.Context, order state.SentOrder, settledBy time.Time) recordedOrder {
+	if l.orders == nil {
+		l.orders = map[int]pendingOrder{}
+	}
+	l.orderCount++
+	recorded := recordedOrder{number: l.orderCount}
+	var carriedOut context.CancelFunc
+	recorded.ctx, carriedOut = context.WithTimeout(context.WithoutCancel(ctx), settledBy.Sub(clock.Now()))
+	l.orders[recorded.number] = pendingOrder{SentOrder: order, carriedOut: carriedOut}
+	return recorded
+}
+
 // markRepeated marks the orders of this process for the same promotion that may be under way, and reports whether there are any; the caller holds
 // the lock.
 func (l *coordinatorLease) markRepeated(order state.SentOrder) bool {
@@ -112,6 +116,24 @@
 	return slices.ContainsFunc(l.pending(), func(o state.SentOrder) bool { return o.Group == group })
 }
 
+// orderedTarget returns the instance that this process, or the one before it, ordered to be promoted in a term, if nothing else for the group may be
+// under way.
+func (l *coordinatorLease) orderedTarget(group model.GroupName, term model.Term) (model.InstanceName, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var target model.InstanceName
+	for _, order := range l.pending() {
+		switch {
+		case order.Group != group:
+			continue
+		case order.Kind != state.OrderPromote || order.Term != term || (target != "" && target != order.Target):
+			return "", false
+		}
+		target = order.Target
+	}
+	return target, target != ""
+}
+
 // recordSettled records that the orders in the row of a version were carried out.
 func (l *coordinatorLease) recordSettled(version int64) {
 	l.mu.Lock()
@@ -120,25 +142,32 @@
 }
 
 // settleLater settles an unanswered order once it is known to be carried out or has outlived its lifetime.
-func (s *Supervisor) settleLater(order recordedOrder) {
+func (l *coordinatorLease) settleLater(order recordedOrder) {
 	<-order.ctx.Done()
-	s.config.Log.Info("order settled without an answer", "order", order.number, "carried-out", errors.Is(order.ctx.Err(), context.Canceled))
-	s.lease.settle(order)
+	l.log.Info("order settled without an answer", "order", order.number, "carried-out", errors.Is(order.ctx.Err(), context.Canceled))
+	l.settle(order)
 }
 
 // claimLease claims the coordinator lease. If orders of its last holder may be under way, it first looks whether they were carried out.
 func (s *Supervisor) claimLease(ctx context.Context) (state.CoordinatorLease, error) {
+	if row := s.config.Cache.Snapshot().Coordinator; len(row.Orders) > 0 && s.lease.isInherited(row) {
+		s.settleCarriedOut(row)
+	}
 	lease, err := s.lease.claim(ctx)
-	if !errors.Is(err, errOrderPending) {
+	if !errors.Is(err, errOrderPending) || !s.settleCarriedOut(s.config.Cache.Snapshot().Coordinator) {
 		return lease, err
 	}
-	row := s.config.Cache.Snapshot().Coordinator
+	return s.lease.claim(ctx)
+}
+
+// settleCarriedOut records that the orders in the row of the lease were carried out, if the instances show that.
+func (s *Supervisor) settleCarriedOut(row state.CoordinatorLease) bool {
 	if !s.carriedOut(row.Orders) {
-		return lease, err
+		return false
 	}
-	s.config.Log.Info("orders of another holder were carried out", "holder", row.Holder, "fence", row.Fence, "orders", row.Orders)
+	s.config.Log.Info("orders of another process were carried out", "holder", row.Holder, "fence", row.Fence, "orders", row.Orders)
 	s.lease.recordSettled(row.Version)
-	return s.lease.claim(ctx)
+	return true
 }
 
 // carriedOut reports whether the instances show that every order was carried out. A repeated order may be under way although one was carried
--- a/coord/promote.go
+++ b/coord/promote.go
@@ -81,7 +81,7 @@
 		r.s.lease.settle(recorded)
 		return err
 	}
-	go r.s.settleLater(recorded)
+	go r.s.lease.settleLater(recorded)
 	return err
 }
 
@@ -96,12 +96,17 @@
 
 // awaitOrders waits until no order for the group can be under way, or the target of one has been promoted. An order takes effect whenever it
 // arrives: a promotion would remove what another primary acknowledged meanwhile, and the end of a pause what replicas confirmed after they
-// were compared.
+// were compared. If the target of the orders can take over, it is ordered again.
 func (r *replacement) awaitOrders(ctx context.Context) error {
 	for r.s.lease.isPending(r.group) {
 		if _, _, found := r.findPromoted(); found {
 			return nil
 		}
+		if target, ok := r.seekOrdered(clock.Now()); ok {
+			if _, err := r.promote(ctx, target); err == nil {
+				return nil
+			}
+		}
 		if !retry.Sleep(ctx, retryInterval) {
 			return errors.New("an order for the group may still be under way")
 		}
@@ -109,6 +114,24 @@
 	return nil
 }
 
+// seekOrdered returns the instance that was ordered to be promoted, if it can take over now. An earlier order for it does no more than the next one,
+// so the replicas can be compared although it may be under way.
+func (r *replacement) seekOrdered(now time.Time) (model.Instance, bool) {
+	name, ordered := r.s.lease.orderedTarget(r.group, r.record.Next.Term)
+	if !ordered {
+		return model.Instance{}, false
+	}
+	r.pause(now)
+	if now.Sub(r.comparedAt) < retryInterval || !r.leasesEnded(now) || !r.recheckPause() {
+		return model.Instance{}, false
+	}
+	furthest, ok := r.compare(now)
+	if !ok {
+		return model.Instance{}, false
+	}
+	return elect.FindEqual(r.replicas, furthest.Name, name)
+}
+
 // renew renews the coordinator lease if too little time is left to send an order.
 func (r *replacement) renew(ctx context.Context) error {
 	if r.s.lease.mayOrder(clock.Now(), r.lease.Fence) {
--- a/coord/resume.go
+++ b/coord/resume.go
@@ -35,6 +35,6 @@
 		r.s.lease.settle(recorded)
 		return nil
 	}
-	go r.s.settleLater(recorded)
+	go r.s.lease.settleLater(recorded)
 	return nil
 }
--- a/elect/choose.go
+++ b/elect/choose.go
@@ -117,6 +117,22 @@
 	return acked, complete
 }
 
+// FindEqual returns the paused replica of a name if it holds as much as the chosen one.
+func FindEqual(replicas []Replica, chosen, name model.InstanceName) (model.Instance, bool) {
+	var received model.Mark
+	for _, r := range replicas {
+		if r.Instance.Name == chosen {
+			received = r.Received
+		}
+	}
+	for _, r := range replicas {
+		if r.Instance.Name == name && r.Paused && !r.Received.Before(received) {
+			return r.Instance, true
+		}
+	}
+	return model.Instance{}, false
+}
+
 // FindPromoted returns the instance that leads a term, or the latest later one.
 func FindPromoted(replicas []Replica, term model.Term) (Replica, bool) {
 	var promoted Replica
--- a/elect/lease.go
+++ b/elect/lease.go
@@ -21,7 +21,7 @@
 
 // LeaseClaim is the state of the coordinator lease as observed by a VM that wants to claim it.
 type LeaseClaim struct {
-	// Released reports that the lease was given up or never held, and HeldHere that this VM holds it.
+	// Released reports that the lease was given up or never held, and HeldHere that this VM holds it, by this process or the one before it.
 	Released, HeldHere bool
 	// HolderEnded reports that the process which holds the lease is known to have ended.
 	HolderEnded bool
@@ -51,6 +51,9 @@
 // SendBy returns the instant until which an order may be sent that was recorded by a call sent at recordedAt.
 func SendBy(recordedAt time.Time) time.Time { return recordedAt.Add(orderSendTime) }
 
+// SettledBy returns the instant from which no order can be under way that is recorded in a row which has been unchanged since an instant.
+func SettledBy(unchangedSince time.Time) time.Time { return unchangedSince.Add(pendingOrderDelay) }
+
 // MayOrder reports whether an order may still be recorded under a lease that was claimed or renewed by a call sent at claimedAt.
 func MayOrder(now, claimedAt time.Time) bool {
 	return now.Before(claimedAt.Add(coordinatorTTL - minOrderTime))
--- a/elect/orders_test.go
+++ b/elect/orders_test.go
@@ -26,7 +26,8 @@
 		// nothing after SendBy, sameToken renews under the same token, counts waits for the answer to each order that was repeated, and asks looks at
 		// the target between record and sending, and orders nothing if it leads already.
 		// awaits keeps the lease after an answer until the effect of the order shows.
-		waits, keeps, checks, sameToken, counts, asks, awaits bool
+		// inherits takes over the orders of the process before on the same VM together with its lease.
+		waits, keeps, checks, sameToken, counts, asks, awaits, inherits bool
 	}
 
 	simulatedRow struct {
@@ -151,31 +152,50 @@
 	}
 }
 
-// claim claims the lease, if it may, and records an order.
-func (s *orderSchedule) claim(i int) {
+// isHeld reports whether the row shows that a VM holds the lease, by any of its processes.
+func (r simulatedRow) isHeld(vm int) bool { return r.fence > 0 && !r.released && r.holder == vm }
+
+// claimOf returns the state of the lease as a VM observes it; leads is what it sees of the target.
+func (s *orderSchedule) claimOf(i int, leads bool) LeaseClaim {
 	vm := &s.vms[i]
 	row := vm.observed
-	own := row.fence > 0 && !row.released && row.holder == i && row.boot == vm.boot
-	leads, _ := s.ask()
-	claim := LeaseClaim{
-		Released: row.released || row.version == 0, HeldHere: own, HolderEnded: row.fence > 0 && s.vms[row.holder].boot != row.boot,
+	return LeaseClaim{
+		Released: row.released || row.version == 0, HeldHere: row.isHeld(i), HolderEnded: row.fence > 0 && s.vms[row.holder].boot != row.boot,
 		OrderPending: row.pending && s.rule.waits && (row.repeated || !leads), UnchangedSince: vm.observedSince,
 	}
+}
+
+// claim claims the lease, if it may, and records an order, unless the target leads already.
+func (s *orderSchedule) claim(i int) {
+	vm := &s.vms[i]
+	row := vm.observed
+	leads, _ := s.ask()
+	claim := s.claimOf(i, leads)
 	if !s.chance(10) || s.target.replaced || !MayClaim(s.now, claim) || row.version != s.row.version {
 		return
 	}
 	next := simulatedRow{holder: i, boot: vm.boot, fence: row.fence + 1, pending: true, version: row.version + 1}
-	if own && s.rule.sameToken {
+	if row.isHeld(i) && s.rule.sameToken {
 		next.fence = row.fence
 	}
-	if leads {
-		next.pending, next.released, s.target.replaced = false, true, true
-	}
-	s.row, vm.observed, vm.observedSince = next, next, s.now
 	vm.recorded, vm.unanswered, vm.answered = 0, 0, false
-	if !leads {
+	if row.isHeld(i) && row.boot != vm.boot && claim.OrderPending && s.rule.inherits {
+		vm.recorded, vm.unanswered, vm.settleBy, next.repeated = 1, 1, SettledBy(vm.observedSince), row.repeated || !leads
+	}
+	s.begin(vm, next, leads)
+}
+
+// begin lets a VM begin its turn as the holder, with a row that it has written.
+func (s *orderSchedule) begin(vm *simulatedVM, next simulatedRow, leads bool) {
+	switch {
+	case leads && vm.unanswered == 0:
+		next.pending, next.released, s.target.replaced = false, true, true
+	case leads:
+		s.target.replaced, vm.held, vm.claimedAt = true, next, s.now
+	default:
 		vm.record(s.now, next)
 	}
+	s.row, vm.observed, vm.observedSince = next, next, s.now
 }
 
 // record records an order in a row that was written at an instant.
@@ -214,23 +234,31 @@
 	s.arrivals = append(s.arrivals, arrival{at: s.now.Add(delay), fence: vm.held.fence, failure: s.target.failure, sender: i, boot: vm.boot, answerLost: s.chance(4)})
 }
 
+// isSettled reports whether a holder takes its orders for settled; leads is what it sees of the target.
+func (s *orderSchedule) isSettled(vm *simulatedVM, leads bool) bool {
+	bySole := leads && vm.recorded == 1 && !vm.held.repeated
+	return vm.unanswered == 0 || (vm.answered && !s.rule.counts) || bySole || !s.now.Before(vm.settleBy)
+}
+
 // settle gives the lease up once its order is settled. A holder that only expects this too early gives it up after a second.
 func (s *orderSchedule) settle(vm *simulatedVM) {
-	gaveUp := !s.rule.keeps && s.now.Sub(vm.claimedAt) > time.Second
 	leads, _ := s.ask()
-	settled := vm.unanswered == 0 || (vm.answered && !s.rule.counts) || (leads && vm.recorded == 1)
 	if s.rule.awaits && vm.answered && !leads && s.now.Sub(vm.answeredAt) < effectTimeout {
 		return
 	}
-	if !settled && s.now.Before(vm.settleBy) && !gaveUp {
-		switch {
-		case !s.rule.sameToken && s.chance(20):
-			vm.held = simulatedRow{} // It claims again, under the next token.
-		case s.chance(60):
-			s.repeat(vm)
-		}
-		return
+	gaveUp := !s.rule.keeps && s.now.Sub(vm.claimedAt) > time.Second
+	switch {
+	case gaveUp || s.isSettled(vm, leads):
+		s.release(vm, leads)
+	case !s.rule.sameToken && s.chance(20):
+		vm.held = simulatedRow{} // It claims again, under the next token.
+	case s.chance(60):
+		s.repeat(vm)
 	}
+}
+
+// release gives the lease up, unless another VM has claimed it.
+func (s *orderSchedule) release(vm *simulatedVM, leads bool) {
 	if s.row.version == vm.held.version {
 		s.row.released, s.row.pending, s.row.repeated = true, false, false
 		s.row.version++
@@ -243,7 +271,7 @@
 func TestNoOrderComesUnderAnOlderToken(t *testing.T) {
 	taken := 0
 	for seed := range uint64(orderSchedules) {
-		s := newOrderSchedule(seed, orderRule{waits: true, keeps: true, checks: true, sameToken: true, counts: true, asks: true, awaits: true})
+		s := newOrderSchedule(seed, orderRule{waits: true, keeps: true, checks: true, sameToken: true, counts: true, asks: true, awaits: true, inherits: true})
 		s.run()
 		require.False(t, s.violated, "seed %d", seed)
 		taken += s.taken
@@ -253,13 +281,14 @@
 
 func TestMissingPrecautionsOfOrdersAreDetected(t *testing.T) {
 	for _, rule := range []orderRule{
-		{name: "claims a lease with an order that may be under way", keeps: true, checks: true, sameToken: true, counts: true, asks: true, awaits: true},
-		{name: "gives the lease up while an order may be under way", waits: true, checks: true, sameToken: true, counts: true, asks: true, awaits: true},
-		{name: "sends an order after a stop", waits: true, keeps: true, sameToken: true, counts: true, asks: true, awaits: true},
-		{name: "renews under a higher token", waits: true, keeps: true, checks: true, counts: true, asks: true, awaits: true},
-		{name: "takes an answer for that to each order", waits: true, keeps: true, checks: true, sameToken: true, asks: true, awaits: true},
-		{name: "orders what an earlier order has carried out", waits: true, keeps: true, checks: true, sameToken: true, counts: true, awaits: true},
-		{name: "gives the lease up before the effect of an answered order shows", waits: true, keeps: true, checks: true, sameToken: true, counts: true, asks: true},
+		{name: "claims a lease with an order that may be under way", keeps: true, checks: true, sameToken: true, counts: true, asks: true, awaits: true, inherits: true},
+		{name: "gives the lease up while an order may be under way", waits: true, checks: true, sameToken: true, counts: true, asks: true, awaits: true, inherits: true},
+		{name: "sends an order after a stop", waits: true, keeps: true, sameToken: true, counts: true, asks: true, awaits: true, inherits: true},
+		{name: "renews under a higher token", waits: true, keeps: true, checks: true, counts: true, asks: true, awaits: true, inherits: true},
+		{name: "takes an answer for that to each order", waits: true, keeps: true, checks: true, sameToken: true, asks: true, awaits: true, inherits: true},
+		{name: "orders what an earlier order has carried out", waits: true, keeps: true, checks: true, sameToken: true, counts: true, awaits: true, inherits: true},
+		{name: "gives the lease up before the effect of an answered order shows", waits: true, keeps: true, checks: true, sameToken: true, counts: true, asks: true, inherits: true},
+		{name: "forgets the orders of the process before", waits: true, keeps: true, checks: true, sameToken: true, counts: true, asks: true, awaits: true},
 	} {
 		t.Run(rule.name, func(t *testing.T) {
 			found := false
