Failover: an order keeps its age over rewrites of the row; a settled RESUME leaves the row

A RESUME that all replicas had answered stayed in the row of the lease until its next write; its sender was killed, and each of two processes that took the row over waited anew from the row's last change.

Each recorded order has its age as of the writing of the row, and others count from there, never less than the lease itself takes to expire. After an answered RESUME the row is written without it: one call more for each handover after a pause and each primary that is kept. The search for a promoted instance is logged once a run.

--- a/coord/inherit.go
+++ b/coord/inherit.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"time"
 
-	"github.com/crocusshore/crocusshore/elect"
 	"github.com/crocusshore/crocusshore/state"
 )
 
@@ -16,13 +16,13 @@
 
 // inheritOrders takes over the orders of the process before, which may be under way; the caller holds the lock. The orders are kept after a
 // successful write of the row, by settleInherited, or dropped by dropOrders. Orders that are known to have been carried out are not taken over.
-func (l *coordinatorLease) inheritOrders(ctx context.Context, row state.CoordinatorLease) []recordedOrder {
+func (l *coordinatorLease) inheritOrders(ctx context.Context, now time.Time, row state.CoordinatorLease) []recordedOrder {
 	if row.Version == l.settledVersion {
 		return nil
 	}
 	orders := make([]recordedOrder, 0, len(row.Orders))
 	for _, order := range row.Orders {
-		orders = append(orders, l.keepOrder(ctx, order, elect.SettledBy(l.unchangedSince)))
+		orders = append(orders, l.keepOrder(ctx, now, order, l.unchangedSince.Add(-order.Age)))
 	}
 	return orders
 }
--- a/coord/keep.go
+++ b/coord/keep.go
@@ -58,6 +58,9 @@
 		})
 	}
 	wait.Wait()
-	r.s.config.Log.Info("replacement resumed", "group", r.group, "instance", promoted.Name, "term", term, "after", clock.Now().Sub(r.announcedAt))
+	if term > 0 || !r.searched {
+		r.s.config.Log.Info("replacement resumed", "group", r.group, "instance", promoted.Name, "term", term, "after", clock.Now().Sub(r.announcedAt))
+	}
+	r.searched = true
 	return promoted, term, term > 0
 }
--- a/coord/lease.go
+++ b/coord/lease.go
@@ -77,7 +77,8 @@
 	}
 	wanted := elect.LeaseClaim{
 		Released: row.Released || row.Version == 0, HeldHere: own || inherited, HolderEnded: holderEnded(l.cache.Snapshot(), row),
-		OrderPending: len(row.Orders) > 0 && row.Version != l.settledVersion, UnchangedSince: l.unchangedSince,
+		OrderPending: len(row.Orders) > 0 && row.Version != l.settledVersion, PendingAge: leastAge(row.Orders),
+		UnchangedSince: l.unchangedSince,
 	}
 	if !elect.MayClaim(now, wanted) {
 		if wanted.OrderPending {
@@ -87,9 +88,9 @@
 	}
 	var orders []recordedOrder
 	if inherited {
-		orders = l.inheritOrders(ctx, row)
+		orders = l.inheritOrders(ctx, now, row)
 	}
-	if err := l.write(ctx, now, l.next(row)); err != nil {
+	if err := l.write(ctx, now, l.next(now, row)); err != nil {
 		l.dropOrders(orders)
 		return state.CoordinatorLease{}, err
 	}
@@ -105,8 +106,8 @@
 
 // next returns the row of the next claim or renewal. The token stays the same as long as no other VM held the lease in between, so that an order of
 // this VM which is late does not come under an older token.
-func (l *coordinatorLease) next(row state.CoordinatorLease) state.CoordinatorLease {
-	next := state.CoordinatorLease{Holder: l.self, Boot: l.boot, Fence: row.Fence + 1, Version: row.Version, Orders: l.pending()}
+func (l *coordinatorLease) next(now time.Time, row state.CoordinatorLease) state.CoordinatorLease {
+	next := state.CoordinatorLease{Holder: l.self, Boot: l.boot, Fence: row.Fence + 1, Version: row.Version, Orders: l.pending(now)}
 	if row.Holder == l.self && row.Fence > 0 && !row.Released {
 		next.Fence, next.Renewals = row.Fence, row.Renewals+1
 	}
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -1,6 +1,7 @@
 package coord
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -18,6 +19,7 @@
 	// pendingOrder is an order of this process that may be under way. carriedOut ends the wait for its answer.
 	pendingOrder struct {
 		state.SentOrder
+		recordedAt time.Time
 		carriedOut context.CancelFunc
 	}
 
@@ -39,8 +41,8 @@
 	}
 	order.Repeated = l.markRepeated(order)
 	now := clock.Now()
-	recorded := l.keepOrder(ctx, order, elect.SendBy(now).Add(elect.OrderLifetime))
-	if err := l.write(ctx, now, l.next(l.held)); err != nil {
+	recorded := l.keepOrder(ctx, now, order, now)
+	if err := l.write(ctx, now, l.next(now, l.held)); err != nil {
 		l.dropOrders([]recordedOrder{recorded})
 		return recordedOrder{}, err
 	}
@@ -49,16 +51,16 @@
 	return recorded, nil
 }
 
-// keepOrder keeps an order that may be under way until an instant; the caller holds the lock.
-func (l *coordinatorLease) keepOrder(ctx context.Context, order state.SentOrder, settledBy time.Time) recordedOrder {
+// keepOrder keeps an order that was recorded at an instant for as long as it may be under way; the caller holds the lock.
+func (l *coordinatorLease) keepOrder(ctx context.Context, now time.Time, order state.SentOrder, recordedAt time.Time) recordedOrder {
 	if l.orders == nil {
 		l.orders = map[int]pendingOrder{}
 	}
 	l.orderCount++
 	recorded := recordedOrder{number: l.orderCount}
 	var carriedOut context.CancelFunc
-	recorded.ctx, carriedOut = context.WithTimeout(context.WithoutCancel(ctx), settledBy.Sub(clock.Now()))
-	l.orders[recorded.number] = pendingOrder{SentOrder: order, carriedOut: carriedOut}
+	recorded.ctx, carriedOut = context.WithTimeout(context.WithoutCancel(ctx), elect.SettledBy(recordedAt).Sub(now))
+	l.orders[recorded.number] = pendingOrder{SentOrder: order, recordedAt: recordedAt, carriedOut: carriedOut}
 	return recorded
 }
 
@@ -84,6 +86,19 @@
 	l.giveUp(context.WithoutCancel(order.ctx))
 }
 
+// removeSettled writes the row of the lease without the orders that are settled, so that no other process waits for them.
+func (l *coordinatorLease) removeSettled(ctx context.Context) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held.Fence == 0 || l.held.Released || len(l.held.Orders) == len(l.orders) {
+		return
+	}
+	now := clock.Now()
+	if err := l.write(ctx, now, l.next(now, l.held)); err != nil {
+		l.log.Info("settled orders stay in the row of the lease", "fence", l.held.Fence, "error", err)
+	}
+}
+
 // recordCarriedOut records that a promotion that this process ordered for a group was carried out. If it was ordered several times, the others may
 // still be under way, even if one was answered. The end of a pause may be under way all the same.
 func (l *coordinatorLease) recordCarriedOut(group model.GroupName) {
@@ -101,19 +116,34 @@
 }
 
 // pending returns the orders of this process that may be under way, in the order of their recording; the caller holds the lock.
-func (l *coordinatorLease) pending() []state.SentOrder {
+func (l *coordinatorLease) pending(now time.Time) []state.SentOrder {
 	orders := make([]state.SentOrder, 0, len(l.orders))
 	for _, number := range slices.Sorted(maps.Keys(l.orders)) {
-		orders = append(orders, l.orders[number].SentOrder)
+		order := l.orders[number]
+		order.Age = now.Sub(order.recordedAt)
+		orders = append(orders, order.SentOrder)
 	}
 	return orders
 }
 
+// leastAge returns the age of the last of the orders.
+func leastAge(orders []state.SentOrder) time.Duration {
+	if len(orders) == 0 {
+		return 0
+	}
+	return slices.MinFunc(orders, func(a, b state.SentOrder) int { return cmp.Compare(a.Age, b.Age) }).Age
+}
+
 // isPending reports whether an order of this process for a group may be under way.
 func (l *coordinatorLease) isPending(group model.GroupName) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.ContainsFunc(l.pending(), func(o state.SentOrder) bool { return o.Group == group })
+	for _, order := range l.orders {
+		if order.Group == group {
+			return true
+		}
+	}
+	return false
 }
 
 // orderedTarget returns the instance that this process, or the one before it, ordered to be promoted in a term, if nothing else for the group may be
@@ -122,7 +152,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var target model.InstanceName
-	for _, order := range l.pending() {
+	for _, order := range l.orders {
 		switch {
 		case order.Group != group:
 			continue
--- a/coord/replace.go
+++ b/coord/replace.go
@@ -54,6 +54,8 @@
 	planned  bool
 	// newIntent reports that no promotion can have been ordered for this intent before this run.
 	newIntent bool
+	// searched reports that this run has looked for an instance that was promoted already.
+	searched bool
 	// stuck reports that the old primary answers but cannot commit.
 	stuck bool
 	// announcedAt is when the intent was known to be in the store, and pausedAt when all replicas were known to be paused, or zero.
--- a/coord/resume.go
+++ b/coord/resume.go
@@ -33,6 +33,7 @@
 	r.s.config.Log.Info("replicas resumed", "group", r.group, "fence", r.lease.Fence, "order", recorded.number, "unanswered", unanswered.Load())
 	if unanswered.Load() == 0 {
 		r.s.lease.settle(recorded)
+		r.s.lease.removeSettled(ctx)
 		return nil
 	}
 	go r.s.lease.settleLater(recorded)
--- a/coord/resume_test.go
+++ b/coord/resume_test.go
@@ -58,6 +58,8 @@
 			r := &replacement{s: supervisor, group: "g", lease: lease, record: state.PrimaryRecord{Group: "g", Primary: "i-1"}, pausedAt: clock.Now()}
 			require.NoError(t, r.resumeReplicas(t.Context()))
 			require.Equal(t, 1, dialer.sent)
+			holder.refresh()
+			require.Equal(t, c.pending, len(holder.cache.Snapshot().Coordinator.Orders) > 0, "others wait for what is recorded, should this process end")
 			holder.giveUp(t.Context())
 			holder.refresh()
 			require.Equal(t, c.pending, holder.isPending("g"))
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -203,6 +203,12 @@
 	}
 	claim := LeaseClaim{OrderPending: true, UnchangedSince: recordedAt}
 	require.True(t, MayClaim(recordedAt.Add(pendingOrderDelay), claim))
+	const age = 3 * time.Second
+	rewritten := LeaseClaim{OrderPending: true, PendingAge: age, UnchangedSince: recordedAt.Add(age)}
+	require.False(t, MayClaim(recordedAt.Add(pendingOrderDelay-time.Millisecond), rewritten))
+	require.True(t, MayClaim(recordedAt.Add(pendingOrderDelay), rewritten), "the row has changed since, for another order")
+	old := LeaseClaim{OrderPending: true, PendingAge: time.Minute, UnchangedSince: now}
+	require.False(t, MayClaim(now.Add(takeoverDelay-time.Millisecond), old), "the lease itself has not expired")
 }
 
 // TestOrderOfALostProcessLeavesTimeToRecover guards against a group that is without a primary for longer than a failure may take: its holder of the
--- a/elect/lease.go
+++ b/elect/lease.go
@@ -28,6 +28,8 @@
 	// OrderPending reports that the holder recorded an order that may be under way. Neither the end of its process nor that of its lease takes
 	// back what has left the process.
 	OrderPending bool
+	// PendingAge is how long before the row's last change the last of these orders was recorded at least.
+	PendingAge time.Duration
 	// UnchangedSince is the instant since which the row of the lease has been observed unchanged.
 	UnchangedSince time.Time
 }
@@ -39,20 +41,20 @@
 		return true
 	}
 	delay := takeoverDelay
-	switch {
-	case c.OrderPending:
-		delay = pendingOrderDelay
-	case c.HolderEnded:
+	if c.HolderEnded {
 		delay = minOrderTime
 	}
+	if c.OrderPending {
+		delay = max(delay, pendingOrderDelay-c.PendingAge)
+	}
 	return now.Sub(c.UnchangedSince) >= delay
 }
 
 // SendBy returns the instant until which an order may be sent that was recorded by a call sent at recordedAt.
 func SendBy(recordedAt time.Time) time.Time { return recordedAt.Add(orderSendTime) }
 
-// SettledBy returns the instant from which no order can be under way that is recorded in a row which has been unchanged since an instant.
-func SettledBy(unchangedSince time.Time) time.Time { return unchangedSince.Add(pendingOrderDelay) }
+// SettledBy returns the instant from which an order can't be under way any more that was recorded at an instant.
+func SettledBy(recordedAt time.Time) time.Time { return recordedAt.Add(pendingOrderDelay) }
 
 // MayOrder reports whether an order may still be recorded under a lease that was claimed or renewed by a call sent at claimedAt.
 func MayOrder(now, claimedAt time.Time) bool {
--- a/state/rows.go
+++ b/state/rows.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -66,6 +67,8 @@
 		Term   model.Term         `json:",omitempty"`
 		// Repeated reports that several orders for this promotion were recorded, so that the promotion does not show which of them were carried out.
 		Repeated bool `json:",omitempty"`
+		// Age is how long ago it was recorded at least, as of the writing of the row.
+		Age time.Duration `json:",omitempty"`
 	}
 
 	// OrderKind is the kind of a SentOrder.
