Store: only the row of this write shows that it took effect

A run that lost the answer to a write read the row back and compared some of its fields. Another act has the same effect: an earlier write of the same process, performed late or with an answer that was lost too.

- Coordinator lease: orders were not compared, so that an order could be sent that no row recorded.
And the row of an equal claim, sent seconds before, counted as the present one: this process counted its lease from the later sending, the others from the row (6 s after it they claim, and an order may be sent until 3.2 s after the later sending).
- Primary record: the announcement of an earlier run of this process, under the same token, counted as that of a run whose cached record was older.
The run took the replacement for a new one, in which nothing can have been ordered, so it might keep the old primary.
Replicas were not compared either.
- The other way round: a write performed after it had been looked for makes the next try fail with a conflict, which was taken for a change by another VM.
The run ended: the new primary was recorded, the old not demoted.

Each write now carries a name of its own in the row, and a row counts only if it is, byte for byte, the one written. After a lost answer a conflict is looked into before it counts as one.

Ruled out: a write that takes effect after its run gave up does no harm, because what the process does next rests on the version of the same rows and excludes it.

Rows of older programs have no name; no program reads it but the writer.

--- a/coord/announce.go
+++ b/coord/announce.go
@@ -33,44 +33,74 @@
 
 // writeRecord writes the primary record and returns the version of the written row. The write fails unless the row of the coordinator
 // lease is as this VM wrote it. If the answer is lost or the store is unavailable, writeRecord reads the row back. It tries again until
-// the row shows the record or the context ends, and also if this VM has written the row of the lease meanwhile, for another group.
+// the row shows the write or the context ends, and also if this VM has written the row of the lease meanwhile, for another group.
 func (r *replacement) writeRecord(ctx context.Context, next state.PrimaryRecord) (int64, error) {
+	next.Write = state.NewWriteID()
 	row, err := next.Row()
 	if err != nil {
 		return 0, err
 	}
 	expected := model.StoredRow{Table: row.Table, Key: row.Key, Version: r.record.Version}
+	tries := recordTries{run: r, row: row}
 	for {
 		lease := r.s.lease.row()
 		version, err := r.s.config.Rows.Apply(ctx, model.Change{Expected: []model.StoredRow{expected, lease}, Writes: []model.StoredRow{row}})
 		if err == nil {
 			return version, nil
 		}
-		if errors.Is(err, model.ErrConflict) && r.s.lease.renewedSince(r.lease.Fence, lease.Version) {
-			continue
-		}
-		if !errors.Is(err, model.ErrUncertain) && !errors.Is(err, model.ErrStoreUnavailable) {
+		version, outcome := tries.judge(ctx, lease, err)
+		switch {
+		case outcome == tryTookEffect:
+			return version, nil
+		case outcome == tryRefused:
 			return 0, err
-		}
-		if found, ok := r.readBackRecord(ctx, next); ok {
-			return found, nil
-		}
-		if !retry.Sleep(ctx, 4*pollInterval) {
+		case outcome == tryOpen && !retry.Sleep(ctx, 4*pollInterval):
 			return 0, err
 		}
 	}
 }
 
-// readBackRecord returns the version of the group's row in the store, and whether a write of the wanted record took effect.
-func (r *replacement) readBackRecord(ctx context.Context, want state.PrimaryRecord) (int64, bool) {
-	page, err := r.s.config.Rows.Rows(ctx, state.Table)
-	if err != nil {
-		return 0, false
+// tryOutcome is what is known of the write of a record after a try that was not answered with success.
+type tryOutcome string
+
+const (
+	// tryTookEffect means that this try or an earlier one took effect.
+	tryTookEffect tryOutcome = "TookEffect"
+	// tryRefused means that no try can take effect any more.
+	tryRefused tryOutcome = "Refused"
+	// tryAgain means that the next try may succeed at once, and tryOpen that it may after a while.
+	tryAgain tryOutcome = "Again"
+	tryOpen  tryOutcome = "Open"
+)
+
+// recordTries is the series of tries to write a row. The conflict of a try may be the effect of an earlier one that was performed late; lost is set
+// once there may be such a one.
+type recordTries struct {
+	run  *replacement
+	row  model.StoredRow
+	lost bool
+}
+
+// judge returns the outcome after a try under a row of the lease failed with err, and the version of the written row if the write took effect.
+func (t *recordTries) judge(ctx context.Context, lease model.StoredRow, err error) (int64, tryOutcome) {
+	conflict := errors.Is(err, model.ErrConflict)
+	unanswered := errors.IsAny(err, model.ErrUncertain, model.ErrStoreUnavailable)
+	t.lost = t.lost || unanswered
+	if t.lost {
+		page, readErr := t.run.s.config.Rows.Rows(ctx, state.Table)
+		if readErr != nil {
+			return 0, tryOpen
+		}
+		if version, tookEffect := state.VersionWritten(t.row, page.Rows); tookEffect {
+			return version, tryTookEffect
+		}
 	}
-	found, known, err := state.FindPrimary(r.group, page.Rows)
-	if err != nil || !known || found.Version == r.record.Version || found.Primary != want.Primary || found.Term != want.Term {
-		return 0, false
+	switch {
+	case conflict && t.run.s.lease.renewedSince(t.run.lease.Fence, lease.Version):
+		return 0, tryAgain
+	case unanswered:
+		return 0, tryOpen
+	default:
+		return 0, tryRefused
 	}
-	same := (found.Next == nil && want.Next == nil) || (found.Next != nil && want.Next != nil && *found.Next == *want.Next)
-	return found.Version, same
 }
--- a/coord/lease.go
+++ b/coord/lease.go
@@ -116,6 +116,7 @@
 // write writes next to the row if the version of the row is still next.Version, and records next as held. claimedAt is when the claim or
 // the last renewal was sent.
 func (l *coordinatorLease) write(ctx context.Context, claimedAt time.Time, next state.CoordinatorLease) error {
+	next.Write = state.NewWriteID()
 	row, err := next.Row()
 	if err != nil {
 		return err
@@ -134,20 +135,22 @@
 	return nil
 }
 
-// readBack reads the row after a lost answer, to establish whether the write took effect.
+// readBack reads the row after a lost answer, to establish whether the write took effect. The row of an earlier write of this process does not show
+// that: it has other orders, or is older than the lease that this write would give.
 func (l *coordinatorLease) readBack(ctx context.Context, want state.CoordinatorLease) (int64, error) {
-	page, err := l.rows.Rows(ctx, state.Table)
+	written, err := want.Row()
 	if err != nil {
 		return 0, err
 	}
-	found, err := state.FindCoordinatorLease(page.Rows)
+	page, err := l.rows.Rows(ctx, state.Table)
 	if err != nil {
 		return 0, err
 	}
-	if found.Holder != want.Holder || found.Boot != want.Boot || found.Fence != want.Fence || found.Renewals != want.Renewals || found.Released != want.Released {
+	version, tookEffect := state.VersionWritten(written, page.Rows)
+	if !tookEffect {
 		return 0, errors.Wrap(errLeaseHeld, "the claim did not take effect")
 	}
-	return found.Version, nil
+	return version, nil
 }
 
 // mayOrder reports whether an order may still be sent under a fencing token.
--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -104,7 +104,7 @@
 // writeReplicas writes the record with other replicas, unless the row has changed since it was read.
 func (s *Supervisor) writeReplicas(ctx context.Context, record state.PrimaryRecord, replicas []model.Incarnation) error {
 	next := record
-	next.Replicas = replicas
+	next.Replicas, next.Write = replicas, state.NewWriteID()
 	row, err := next.Row()
 	if err != nil {
 		return err
--- a/state/rows.go
+++ b/state/rows.go
@@ -1,10 +1,12 @@
 package state
 
 import (
+	"bytes"
 	"encoding/json"
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 
 	"github.com/crocusshore/crocusshore/model"
 )
@@ -31,6 +33,8 @@
 		Replicas []model.Incarnation
 		// Next is set from the announcement of a replacement until the next primary is recorded or the old one is kept.
 		Next *Intent `json:",omitempty"`
+		// Write names the write of the row; see NewWriteID.
+		Write WriteID `json:",omitempty"`
 		// Version is the version of the row.
 		Version int64 `json:"-"`
 	}
@@ -53,8 +57,10 @@
 		// Released reports that the holder gave the lease up and sends no more orders under this token.
 		Released bool
 		// Orders are the holder's orders that may still be under way. Each is recorded before it is sent, since no VM can take it back.
-		Orders  []SentOrder `json:",omitempty"`
-		Version int64       `json:"-"`
+		Orders []SentOrder `json:",omitempty"`
+		// Write names the write of the row; see NewWriteID.
+		Write   WriteID `json:",omitempty"`
+		Version int64   `json:"-"`
 	}
 
 	// SentOrder is an order that takes effect whenever it arrives, whatever has happened since it was sent.
@@ -70,6 +76,9 @@
 
 	// OrderKind is the kind of a SentOrder.
 	OrderKind string
+
+	// WriteID names one write of a row. Another write may have the same effect: an earlier one of the same process whose answer was lost.
+	WriteID string
 )
 
 const (
@@ -79,6 +88,9 @@
 	OrderResume OrderKind = "Resume"
 )
 
+// NewWriteID returns the name of a new write.
+func NewWriteID() WriteID { return WriteID(uuid.NewString()) }
+
 // Row returns the record as a row of the store.
 func (r PrimaryRecord) Row() (model.StoredRow, error) {
 	return row(prefixPrimary+string(r.Group), r.Version, r)
@@ -151,31 +163,12 @@
 	return nil
 }
 
-// FindCoordinatorLease returns the coordinator lease among rows of Table; it is zero if there is none.
-func FindCoordinatorLease(rows []model.StoredRow) (CoordinatorLease, error) {
-	s := newSnapshot()
+// VersionWritten returns the version of the row among rows of Table that has the key and value of a written one, and whether there is one.
+func VersionWritten(written model.StoredRow, rows []model.StoredRow) (int64, bool) {
 	for _, r := range rows {
-		if r.Key != KeyCoordinator {
-			continue
-		}
-		if err := s.applyCoordinator(r); err != nil {
-			return CoordinatorLease{}, err
-		}
-	}
-	return s.Coordinator, nil
-}
-
-// FindPrimary returns the primary record of a group among rows of Table, and whether there is one.
-func FindPrimary(group model.GroupName, rows []model.StoredRow) (PrimaryRecord, bool, error) {
-	s := newSnapshot()
-	for _, r := range rows {
-		if r.Key != prefixPrimary+string(group) {
-			continue
-		}
-		if err := s.applyPrimary(group, r); err != nil {
-			return PrimaryRecord{}, false, err
+		if r.Key == written.Key {
+			return r.Version, bytes.Equal(r.Value, written.Value)
 		}
 	}
-	record, found := s.Primaries[group]
-	return record, found, nil
+	return 0, false
 }
