Handover: a DEMOTE that does not apply is no demotion

DEMOTE answers with the state of the instance, whether it applies or not. A resumed run of planned work took any answer for a demotion. An earlier order has the same effect on the answer: the old primary, promoted itself, leads the announced term and stays a primary; or it is a replica because it follows another instance that leads. Both are seen only if the leading instance did not answer when the run looked for one.

Callers lose no commit by it, since no VM uses a primary of a term that is not recorded; the run orders a second promotion, from an instance that is not demoted. Now a primary that stays one ends the run, and the next one records it; and an instance that leads the announced term is the target.

Both tests failed before: PrimaryThatStaysOneIsNotHandedOver, InstanceThatLeadsIsTheTargetOfAHandover. Ruled out: a demotion by the DEMOTE of an earlier run counts rightly, because what matters is that the instance takes no more writes and how far its log goes, both in one answer.

--- a/coord/handover.go
+++ b/coord/handover.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/elect"
 	"github.com/crocusshore/crocusshore/model"
@@ -19,6 +21,9 @@
 	catchUpTimeout = 1500 * time.Millisecond
 )
 
+// errNotDemoted ends a run whose DEMOTE did not apply.
+var errNotDemoted = errors.New("the old primary leads the announced term or a later one")
+
 // awaitNearlyCaughtUp waits, for at most nearTimeout, until a replica has the log of a leaving primary except for nearLag commits.
 func (r *replacement) awaitNearlyCaughtUp(ctx context.Context) {
 	for until := clock.Now().Add(nearTimeout); clock.Now().Before(until); {
@@ -39,7 +44,7 @@
 
 // handOver lets a replica catch up with a primary that still answers, and demotes the primary, if that is possible. If no replica catches up with
 // a primary that answers, it returns errKept: a commit may have been acknowledged because a replica received it, and that replica may have
-// been removed.
+// been removed. If the primary leads the announced term, by an earlier order, it returns errNotDemoted, and the next run records it.
 func (r *replacement) handOver(ctx context.Context) error {
 	if !r.answered || r.stuck {
 		return nil
@@ -55,6 +60,9 @@
 		return errKept
 	}
 	state, err := r.demote()
+	if err == nil && state.Role == model.RolePrimary {
+		return errNotDemoted
+	}
 	r.handedOver = err == nil && !state.Received.Before(r.final)
 	r.final = state.Received
 	return nil
@@ -62,9 +70,13 @@
 
 // handOverTarget returns an instance that has the full log of the demoted primary. It asks the instances just before the promotion, since one
 // that had the log may have started again, with an empty one, while the leases ran out. If no instance has the log, the replicas have to
-// be compared.
+// be compared. One that leads the announced term, by an earlier order, is the target whatever the others have.
 func (r *replacement) handOverTarget() (model.Instance, bool) {
-	if target, ok := elect.FindCaughtUp(r.callReplicas(model.InstanceConn.Status), r.final); ok {
+	replicas := r.callReplicas(model.InstanceConn.Status)
+	if promoted, found := elect.FindPromoted(replicas, r.record.Next.Term); found {
+		return promoted.Instance, true
+	}
+	if target, ok := elect.FindCaughtUp(replicas, r.final); ok {
 		return target, true
 	}
 	// A write arrived after the replica caught up; only the old primary has it.
