Peers: an answer counts for the VM that gave it, and once

The answer to a request was taken for that of the VM that was asked: the client wrote the asked name over the one in the answer, and took forwarded answers whatever VM they named. Another act has the same effect: another VM runs at the address of one that has ended, and answers. Its confirmation counted for both, so what only the ended VM knew to be acknowledged could be missing in the comparison of replicas; one opinion counted twice.

Now an answer counts only for the VM that it names itself, if that one was asked and has not been counted. An ended VM whose address another one uses does not confirm, so that its leases have to run out.

The VMs in three older tests answered under another name than they were asked by, or under none, which is the fault itself; they now have the names they are asked by, and the tests check what they did.

--- a/peers/client.go
+++ b/peers/client.go
@@ -76,26 +76,20 @@
 	return answer, json.Unmarshal(text, &answer)
 }
 
-// RequestReleases asks all VMs in parallel to stop using a primary and returns the confirmations that arrived in time.
+// RequestReleases asks all VMs in parallel to stop using a primary and returns the confirmations that arrived in time, each of another of these VMs.
 func (c *Client) RequestReleases(ctx context.Context, vms []state.VM, request ReleaseRequest) []elect.Release {
-	return askAll(ctx, vms, func(vm state.VM, fanout Fanout) ([]elect.Release, error) {
+	vmOf := func(r elect.Release) model.VMID { return r.VM }
+	return askAll(ctx, vms, vmOf, func(vm state.VM, fanout Fanout) ([]elect.Release, error) {
 		request := request
 		request.Spread = fanout
-		releases, err := call[[]elect.Release](ctx, c, vm.Peers, pathRelease, request)
-		if len(releases) > 0 {
-			releases[0].VM = vm.Name
-		}
-		return releases, err
+		return call[[]elect.Release](ctx, c, vm.Peers, pathRelease, request)
 	})
 }
 
-// RequestOpinions asks all VMs in parallel about a primary and returns the answers that arrived in time.
+// RequestOpinions asks all VMs in parallel about a primary and returns the answers that arrived in time, each of another of these VMs.
 func (c *Client) RequestOpinions(ctx context.Context, vms []state.VM, group model.GroupName) []elect.Opinion {
-	return askAll(ctx, vms, func(vm state.VM, fanout Fanout) ([]elect.Opinion, error) {
-		opinions, err := call[[]elect.Opinion](ctx, c, vm.Peers, pathOpinion, OpinionRequest{Group: group, Spread: fanout})
-		if len(opinions) > 0 {
-			opinions[0].VM = vm.Name
-		}
-		return opinions, err
+	vmOf := func(o elect.Opinion) model.VMID { return o.VM }
+	return askAll(ctx, vms, vmOf, func(vm state.VM, fanout Fanout) ([]elect.Opinion, error) {
+		return call[[]elect.Opinion](ctx, c, vm.Peers, pathOpinion, OpinionRequest{Group: group, Spread: fanout})
 	})
 }
--- a/peers/fanout.go
+++ b/peers/fanout.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/state"
 )
 
@@ -48,9 +49,9 @@
 	return result
 }
 
-// askAll asks all VMs, some of them through others, and returns the answers that arrived in time. send returns the answer of vm first, then
-// the answers of the VMs that vm forwarded the request to.
-func askAll[A any](ctx context.Context, vms []state.VM, send func(vm state.VM, fanout Fanout) ([]A, error)) []A {
+// askAll asks all VMs, some of them through others, and returns the answers that arrived in time. send returns the answer of vm and those of the VMs
+// that vm forwarded the request to; vmOf returns the VM that gave an answer.
+func askAll[A any](ctx context.Context, vms []state.VM, vmOf func(A) model.VMID, send func(vm state.VM, fanout Fanout) ([]A, error)) []A {
 	within := time.Duration(0)
 	if deadline, ok := ctx.Deadline(); ok {
 		within = time.Duration(forwardedTimeShare * float64(time.Until(deadline)))
@@ -70,13 +71,29 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			answers = append(answers, got...)
+			answers = append(answers, ofAsked(batch, got, vmOf)...)
 		})
 	}
 	wait.Wait()
 	return answers
 }
 
+// ofAsked returns the first answer of each VM that was asked. Another VM may run at the address of one that has ended.
+func ofAsked[A any](asked []state.VM, answers []A, vmOf func(A) model.VMID) []A {
+	awaited := make(map[model.VMID]bool, len(asked))
+	for _, vm := range asked {
+		awaited[vm.Name] = true
+	}
+	var counted []A
+	for _, answer := range answers {
+		if vm := vmOf(answer); awaited[vm] {
+			awaited[vm] = false
+			counted = append(counted, answer)
+		}
+	}
+	return counted
+}
+
 // answerAndForward returns the answer of this VM, followed by those of the VMs that the request is forwarded to.
 func answerAndForward[A any](fanout Fanout, own func() A, forward func(ctx context.Context, vms []state.VM) []A) []A {
 	if len(fanout.VMs) == 0 {
--- a/peers/onecall_test.go
+++ b/peers/onecall_test.go
@@ -38,7 +38,7 @@
 			}
 			var version int64
 			_, _ = fmt.Sscanf(string(body), `{"Group":"g","Version":%d`, &version)
-			text := fmt.Sprintf(`[{"Known":{"Term":1,"Position":%d}}]`, version)
+			text := fmt.Sprintf(`[{"VM":"a","Known":{"Term":1,"Position":%d}}]`, version)
 			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", headerCall, r.Header.Get(headerCall), len(text), text)
 			_, _ = conn.Write([]byte(before + answer))
 			before = answer
@@ -71,7 +71,7 @@
 
 // TestLateAnswerOfAPeerIsForNoOtherCall guards against the answer to a call that was given up.
 func TestLateAnswerOfAPeerIsForNoOtherCall(t *testing.T) {
-	peer := startPeer(t)
+	peer := startPeer(t, "a")
 	client := NewClient()
 	for version := range int64(20) {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(version)*20*time.Microsecond)
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -19,7 +19,7 @@
 )
 
 // fixedResponder is a VM that returns fixed answers to its peers.
-type fixedResponder struct{}
+type fixedResponder struct{ vm model.VMID }
 
 func (fixedResponder) Tables(r TablesRequest) TablesReply {
 	return TablesReply{
@@ -29,23 +29,23 @@
 	}
 }
 
-func (fixedResponder) Release(r ReleaseRequest) elect.Release {
-	return elect.Release{VM: "vm", Known: model.Mark{Term: 1, Position: model.Position(r.Version)}}
+func (f fixedResponder) Release(r ReleaseRequest) elect.Release {
+	return elect.Release{VM: f.vm, Known: model.Mark{Term: 1, Position: model.Position(r.Version)}}
 }
 
-func (fixedResponder) Opinion(OpinionRequest) elect.Opinion {
-	return elect.Opinion{VM: "vm", Reached: true, CommitAge: -1}
+func (f fixedResponder) Opinion(OpinionRequest) elect.Opinion {
+	return elect.Opinion{VM: f.vm, Reached: true, CommitAge: -1}
 }
 
-func startPeer(t *testing.T) netip.AddrPort {
+func startPeer(t *testing.T, vm model.VMID) netip.AddrPort {
 	t.Helper()
-	server := httptest.NewServer(Handler(fixedResponder{}, log.New(io.Discard)))
+	server := httptest.NewServer(Handler(fixedResponder{vm: vm}, log.New(io.Discard)))
 	t.Cleanup(server.Close)
 	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 }
 
 func TestRequestsAndAnswersAreTransmittedInFull(t *testing.T) {
-	peer := startPeer(t)
+	peer := startPeer(t, "a")
 	c := NewClient()
 	reply, err := c.Tables(t.Context(), peer, TablesRequest{Versions: map[model.TableName]int64{"t": 6}, Wait: time.Second})
 	require.NoError(t, err)
@@ -56,16 +56,15 @@
 }
 
 func TestVMsThatDoNotAnswerAreMissing(t *testing.T) {
-	peer := startPeer(t)
 	unresponsive := netip.MustParseAddrPort("127.0.0.1:1")
-	vms := []state.VM{{Name: "a", Peers: peer}, {Name: "b", Peers: unresponsive}, {Name: "c", Peers: peer}}
+	vms := []state.VM{{Name: "a", Peers: startPeer(t, "a")}, {Name: "b", Peers: unresponsive}, {Name: "c", Peers: startPeer(t, "c")}}
 	opinions := NewClient().RequestOpinions(t.Context(), vms, "g")
 	require.Len(t, opinions, 2)
 	require.ElementsMatch(t, []model.VMID{"a", "c"}, []model.VMID{opinions[0].VM, opinions[1].VM})
 }
 
 func TestInvalidRequestsAreRejected(t *testing.T) {
-	peer := startPeer(t)
+	peer := startPeer(t, "a")
 	response, err := http.Post("http://"+peer.String()+pathRelease, "application/json", strings.NewReader("{"))
 	require.NoError(t, err)
 	defer func() { _ = response.Body.Close() }()
