Rates: a late report of demand does not replace a newer one

VMs report the demand at them in datagrams, and the last one to arrive counted as the newest. A datagram that was overtaken has the same effect as a new report: with an earlier demand that was lower, the receiver took a share that the sender had stopped leaving to it, so that the shares added up to more than the rate until the next report, one second later. A report of an ended process that came after one of its successor did the same.

A report names its process and carries a number; one that is older than the last of its process, or that comes from the process before, is dropped. The answer to a report has the number of the last report and counts besides it. Reports of older programs have neither and count as before.

Ruled out: granted tokens, which count once for the request that they name, and answers to admission requests, whose IDs begin at random in each process.

--- a/peers/ratelimiter.go
+++ b/peers/ratelimiter.go
@@ -173,7 +173,9 @@
 	for team, demand := range report.Demand {
 		for _, vm := range r.remoteAdmitters(now, team) {
 			if reports[vm.Gossip] == nil {
-				reports[vm.Gossip] = &share.Report{VM: r.config.Self, Domain: r.config.Domain, Demand: map[model.TeamName]float64{}}
+				part := report
+				part.Demand = map[model.TeamName]float64{}
+				reports[vm.Gossip] = &part
 			}
 			reports[vm.Gossip].Demand[team] = demand
 		}
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -36,7 +37,10 @@
 		VM model.VMID
 		// Domain is the failure domain of the VM; if it is empty, the VM counts as one of its own.
 		Domain model.Domain `json:",omitempty"`
-		Demand map[model.TeamName]float64
+		// Process names the process that reports, and Number the reports of it in their order; both are 0 if it told none.
+		Process uint64 `json:",omitempty"`
+		Number  uint64 `json:",omitempty"`
+		Demand  map[model.TeamName]float64
 	}
 
 	// Config holds what a limiter needs of the settings and the other VMs.
@@ -69,6 +73,8 @@
 	Limiter struct {
 		config  Config
 		started time.Time
+		// process names this process in its reports.
+		process uint64
 
 		mu sync.Mutex
 		// ranAt is when this VM last showed that it runs.
@@ -77,6 +83,8 @@
 		// peers holds the reports of the other VMs, and own those of this one.
 		peers []peerHistory
 		own   history
+		// reports is the number of the last own report.
+		reports uint64
 	}
 
 	// Decision is the decision on an operation, with the figures that it rests on.
@@ -92,21 +100,6 @@
 		By model.VMID
 	}
 
-	// timedReport is a report and when it was received or, for an own one, made.
-	timedReport struct {
-		report Report
-		at     time.Time
-	}
-
-	// peerHistory is another VM with its latest reports.
-	peerHistory struct {
-		vm      model.VMID
-		reports history
-	}
-
-	// history holds the latest reports of a VM, oldest first.
-	history []timedReport
-
 	team struct {
 		demand meter
 		bucket bucket
@@ -117,7 +110,7 @@
 
 // New returns a limiter whose buckets start to fill no earlier than now, so that a restart grants nothing twice.
 func New(now time.Time, config Config) *Limiter {
-	return &Limiter{config: config, started: now, teams: map[model.TeamName]*team{}}
+	return &Limiter{config: config, started: now, process: rand.Uint64(), teams: map[model.TeamName]*team{}}
 }
 
 // Admit spends a token of a team, or returns when the next one is available. A bucket that this VM did not have before begins as start says.
@@ -204,15 +197,7 @@
 	return total, len(domains)
 }
 
-// domain returns the failure domain of the VM, or a name of its own if it told none.
-func (p peerHistory) domain() model.Domain {
-	if last := p.reports[len(p.reports)-1].report; last.Domain != "" {
-		return last.Domain
-	}
-	return model.Domain("VM " + p.vm)
-}
-
-// RecordReport records a report of another VM and drops the VMs whose last report no longer counts.
+// RecordReport records a report of another VM, unless it is older than the last one, and drops the VMs whose last report no longer counts.
 func (l *Limiter) RecordReport(now time.Time, report Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -222,7 +207,7 @@
 		index = len(l.peers)
 		l.peers = append(l.peers, peerHistory{vm: report.VM})
 	}
-	l.peers[index].reports = l.peers[index].reports.add(timedReport{report: report, at: now})
+	l.peers[index].add(timedReport{report: report, at: now})
 }
 
 // minReportedDemand is the demand in operations per second below which a team is left out of a report.
@@ -233,7 +218,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.noteRunning(now)
-	report := Report{VM: self, Domain: l.config.Domain, Demand: map[model.TeamName]float64{}}
+	l.reports++
+	report := l.emptyReport(self)
 	for name, t := range l.teams {
 		if demand := t.demand.read(now); demand >= minReportedDemand {
 			report.Demand[name] = float64(int(demand*100)) / 100
@@ -248,7 +234,7 @@
 func (l *Limiter) ReportFor(self model.VMID, teams []model.TeamName) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	report := Report{VM: self, Domain: l.config.Domain, Demand: map[model.TeamName]float64{}}
+	report := l.emptyReport(self)
 	for _, name := range teams {
 		if demand := l.own.lastDemand(name); demand > 0 || len(l.own) >= minReports {
 			report.Demand[name] = demand
@@ -257,43 +243,7 @@
 	return report
 }
 
-func (h history) add(t timedReport) history {
-	h = append(h, t)
-	if len(h) > maxReports {
-		h = h[1:]
-	}
-	return h
-}
-
-// lastDemand returns the demand in the last report.
-func (h history) lastDemand(name model.TeamName) float64 {
-	if len(h) == 0 {
-		return 0
-	}
-	return h[len(h)-1].report.Demand[name]
-}
-
-// settledDemand returns the demand in the newest report that all VMs have received by now.
-func (h history) settledDemand(now time.Time, name model.TeamName) float64 {
-	for i := len(h) - 1; i >= 0; i-- {
-		if now.Sub(h[i].at) >= reportSettleTime {
-			return h[i].report.Demand[name]
-		}
-	}
-	return 0
-}
-
-// knownDemand returns the demand for a team in the newest report that all VMs have received by now and that has a figure for it, if any.
-func (h history) knownDemand(now time.Time, name model.TeamName) (float64, bool) {
-	for i := len(h) - 1; i >= 0; i-- {
-		if demand, known := h[i].report.Demand[name]; known && now.Sub(h[i].at) >= reportSettleTime {
-			return demand, true
-		}
-	}
-	return 0, false
-}
-
-// isExpired reports whether the last report is so old that the demand of the VM no longer counts.
-func (h history) isExpired(now time.Time) bool {
-	return len(h) == 0 || now.Sub(h[len(h)-1].at) > reportTTL
+// emptyReport returns this VM's last report without its figures; the caller holds the lock.
+func (l *Limiter) emptyReport(self model.VMID) Report {
+	return Report{VM: self, Domain: l.config.Domain, Process: l.process, Number: l.reports, Demand: map[model.TeamName]float64{}}
 }
