--- a/coord/supervisor.go
+++ b/coord/supervisor.go
@@ -112,7 +112,7 @@
 		g.cause, g.since = cause, now
 		s.config.Log.Info("primary assessed", "group", group, "cause", cause)
 	}
-	if cause == elect.CauseNone || g.busy || now.Before(g.notBefore) || now.Sub(g.since) < s.startDelay(now) {
+	if cause == elect.CauseNone || g.busy || now.Before(g.notBefore) || now.Sub(g.since) < s.startDelay(now) || !s.isRegistered() {
 		return
 	}
 	g.busy = true
@@ -127,6 +127,12 @@
 	}()
 }
 
+// isRegistered reports whether this process has registered its VM. Before that, a late registration of an earlier process could make the
+// coordinator lease of this one look like that of a process that has ended.
+func (s *Supervisor) isRegistered() bool {
+	return s.config.Cache.Snapshot().VMs[s.config.Self].Boot == s.config.Boot
+}
+
 // primaryState collects what this VM has observed of the primary of a group.
 func (s *Supervisor) primaryState(now time.Time, group model.GroupName, g *groupState) elect.PrimaryState {
 	snapshot := s.config.Cache.Snapshot()
