Handover: no answer is not taken for "not promoted"

A run that resumes a replacement asks all instances whether one leads the announced term. One that does not answer counted as not promoted. If the old primary answered and no replica caught up with it, the run kept it and withdrew the announcement, although an order of an earlier run may have promoted the silent instance. The old primary goes on until it reaches the new one and then drops what it has acknowledged since: lost commits.

A resumed run now keeps the primary only if every other instance of the group answers and none leads the announced term. Otherwise it ends, and the next run looks again. The price: while an instance is registered and silent, and no other one catches up with the primary, the group takes no writes.

Open, by reading: an instance that was promoted, has failed and is not registered any more is not asked; only a note in the record that an order was sent for this announcement would tell.

--- a/coord/handover.go
+++ b/coord/handover.go
@@ -21,8 +21,12 @@
 	catchUpTimeout = 1500 * time.Millisecond
 )
 
-// errNotDemoted ends a run whose DEMOTE did not apply.
-var errNotDemoted = errors.New("the old primary leads the announced term or a later one")
+var (
+	// errNotDemoted ends a run whose DEMOTE did not apply.
+	errNotDemoted = errors.New("the old primary leads the announced term or a later one")
+	// errMayBeReplaced ends a run that can neither replace nor keep the old primary.
+	errMayBeReplaced = errors.New("an instance that does not answer may have been promoted by an earlier order")
+)
 
 // awaitNearlyCaughtUp waits, for at most nearTimeout, until a replica has the log of a leaving primary except for nearLag commits.
 func (r *replacement) awaitNearlyCaughtUp(ctx context.Context) {
@@ -44,7 +48,8 @@
 
 // handOver lets a replica catch up with a primary that still answers, and demotes the primary, if that is possible. If no replica catches up with
 // a primary that answers, it returns errKept: a commit may have been acknowledged because a replica received it, and that replica may have
-// been removed. If the primary leads the announced term, by an earlier order, it returns errNotDemoted, and the next run records it.
+// been removed. If an earlier order may have promoted another instance, it returns errMayBeReplaced, and if it promoted the primary itself,
+// errNotDemoted; the next run looks for the instance that leads.
 func (r *replacement) handOver(ctx context.Context) error {
 	if !r.answered || r.stuck {
 		return nil
@@ -57,6 +62,9 @@
 		r.pausedAt, r.pauseTriedAt, r.replicas = time.Time{}, time.Time{}, nil
 	}
 	if !r.awaitCaughtUp(ctx) {
+		if r.mayBeReplaced() {
+			return errMayBeReplaced
+		}
 		return errKept
 	}
 	state, err := r.demote()
@@ -68,6 +76,17 @@
 	return nil
 }
 
+// mayBeReplaced reports whether an instance may lead the announced term by an order of an earlier run. One that does not answer may: the old primary
+// goes on until it reaches the new one, and then drops what it has acknowledged.
+func (r *replacement) mayBeReplaced() bool {
+	if r.newIntent {
+		return false
+	}
+	replicas := r.callReplicas(model.InstanceConn.Status)
+	_, leads := elect.FindPromoted(replicas, r.record.Next.Term)
+	return leads || !elect.AllPaused(replicas)
+}
+
 // handOverTarget returns an instance that has the full log of the demoted primary. It asks the instances just before the promotion, since one
 // that had the log may have started again, with an empty one, while the leases ran out. If no instance has the log, the replicas have to
 // be compared. One that leads the announced term, by an earlier order, is the target whatever the others have.
