Failover: a primary that is a replica is replaced, though it answers

DEMOTE has no record and no end. If a replacement was withdrawn because the old primary answered again, and its DEMOTE arrived afterwards, the group had no primary from then on: the recorded instance answered as a replica, any answer counted as that of a primary (health, opinions), and its refusals of writes (READONLY) are no failure. Nothing ever looked at the role. A promotion that comes late and unannounced has the same effect once the old primary has stepped down.

A primary that its registration has shown as a replica for a second, with no replacement announced, is suspected; opinions on it rest on its own answer to STATUS. The second covers the time in which a new primary registers its role.

Ruled out: keeping no primary while a DEMOTE is unanswered; a run of another VM does not know of it.

--- a/coord/supervisor.go
+++ b/coord/supervisor.go
@@ -71,6 +71,8 @@
 		// intentVersion is the version of the row with the last observed intent, and intentObservedAt is when that row was first observed.
 		intentVersion    int64
 		intentObservedAt time.Time
+		// notLeadingSince is since when the primary has been registered as a replica, or zero.
+		notLeadingSince time.Time
 		// compared is the snapshot in which the recorded replicas were last compared with the registered ones, and changes the result.
 		compared *state.Snapshot
 		changes  elect.ReplicaChanges
@@ -140,6 +142,7 @@
 	observed := elect.PrimaryState{
 		Recorded: record.Version > 0, Registered: registered, AbsenceSettled: s.config.Cache.AbsenceSettled(now), Leaving: primary.Leaving,
 	}
+	observed.NotLeadingSince = g.observeRole(now, registered && record.Next == nil && primary.Role == model.RoleReplica)
 	if record.Next != nil {
 		if g.intentVersion != record.Version {
 			g.intentVersion, g.intentObservedAt = record.Version, now
@@ -157,6 +160,17 @@
 	return observed
 }
 
+// observeRole records whether the primary is registered as a replica now, and returns since when it has been, or zero.
+func (g *groupState) observeRole(now time.Time, replica bool) time.Time {
+	switch {
+	case !replica:
+		g.notLeadingSince = time.Time{}
+	case g.notLeadingSince.IsZero():
+		g.notLeadingSince = now
+	}
+	return g.notLeadingSince
+}
+
 // isAbandoned reports whether the coordinator lease under which a replacement was announced has ended: it was claimed anew or given up,
 // or the process that holds it has ended.
 func isAbandoned(snapshot *state.Snapshot, intent state.Intent) bool {
--- a/elect/cause.go
+++ b/elect/cause.go
@@ -16,7 +16,8 @@
 	CauseRecord Cause = "Adopt"
 	// CausePlanned means that the primary is leaving and still serves.
 	CausePlanned Cause = "Planned"
-	// CauseSuspected means that the primary does not answer this VM, or does not answer its commits. Other VMs have to be asked.
+	// CauseSuspected means that the primary does not answer this VM, does not answer its commits, or is registered as a replica. Other VMs have to
+	// be asked.
 	CauseSuspected Cause = "Suspected"
 	// CauseGone means that the primary is no longer registered.
 	CauseGone Cause = "Gone"
@@ -35,6 +36,9 @@
 	stuckAfter = 900 * time.Millisecond
 	// resumeAfter is how long another VM's replacement is left alone; it covers the longest use of the coordinator lease.
 	resumeAfter = 6 * time.Second
+	// notLeadingAfter is how long the registration of a primary must have shown a replica before other VMs are asked. A new primary registers its
+	// role as soon as it leads.
+	notLeadingAfter = time.Second
 	// maxAnswerAge bounds how long ago a commit may have been answered to show that the primary still commits.
 	maxAnswerAge = 350 * time.Millisecond
 )
@@ -58,6 +62,8 @@
 	Failures     int
 	// StuckSince is since when no commit was answered although some were sent, or zero.
 	StuckSince time.Time
+	// NotLeadingSince is since when this VM has observed that the primary is registered as a replica, or zero.
+	NotLeadingSince time.Time
 	// ReplicasOutdated reports that the recorded replicas have to be changed.
 	ReplicasOutdated bool
 }
@@ -86,11 +92,12 @@
 	}
 }
 
-// suspected reports whether the primary does not answer this VM, or does not answer its commits.
+// suspected reports whether the primary does not answer this VM, does not answer its commits, or is registered as a replica.
 func (s PrimaryState) suspected(now time.Time) bool {
 	failing := s.Failures >= suspectFailures && !s.FailingSince.IsZero() && now.Sub(s.FailingSince) >= suspectAfter
 	stuck := !s.StuckSince.IsZero() && now.Sub(s.StuckSince) >= stuckAfter
-	return failing || stuck
+	notLeading := !s.NotLeadingSince.IsZero() && now.Sub(s.NotLeadingSince) >= notLeadingAfter
+	return failing || stuck || notLeading
 }
 
 // Opinion is what a VM, which may be this one, has observed of a primary when it is asked.
--- a/node/local.go
+++ b/node/local.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/elect"
+	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/peers"
 )
 
@@ -49,11 +50,11 @@
 }
 
 // Opinion returns whether this VM reaches the primary of a group and whether its commits are answered. It sends a request to the primary
-// unless the primary answered within the last freshAnswerAge and has not failed since.
+// unless the primary answered within the last freshAnswerAge and has not failed since, and is not registered as a replica, which answers, too.
 func (n *Node) Opinion(request peers.OpinionRequest) elect.Opinion {
 	opinion := elect.Opinion{VM: n.config.Settings.VM, CommitAge: -1}
 	primary, _, known := n.cache.Snapshot().Primary(request.Group)
-	if known {
+	if known && primary.Role != model.RoleReplica {
 		now := clock.Now()
 		health := n.tracker.Health(now, primary.Name)
 		opinion.Reached = health.Failures == 0 && now.Sub(health.AnsweredAt) < freshAnswerAge
