--- a/coord/review41_test.go
+++ b/coord/answered_test.go
@@ -45,9 +45,9 @@
 	return r.RowStore.Rows(ctx, table)
 }
 
-// TestReviewLostAnswerToTheClaimForgetsTheOrdersOfTheProcessBefore: the claim of the successor takes effect and its answer is lost (read-back
-// unavailable, or the write takes effect after the read-back, as PROTOCOL.md allows). The row is then "own" and no longer "inherited".
-func TestReviewLostAnswerToTheClaimForgetsTheOrdersOfTheProcessBefore(t *testing.T) {
+// TestOrdersAreTakenOverThoughTheAnswerToTheClaimIsLost guards against a lower token: the claim of a process that started again took effect, its answer
+// was lost, and the next claim took the row for one that this process knows, without the orders of the process before.
+func TestOrdersAreTakenOverThoughTheAnswerToTheClaimIsLost(t *testing.T) {
 	for name, late := range map[string]bool{"read-back not served": false, "write takes effect after the read-back": true} {
 		t.Run(name, func(t *testing.T) {
 			rows, _, successor, lease := newSuccessor(t)
@@ -119,9 +119,9 @@
 	return r
 }
 
-// TestReviewLateAnswerGivesTheLeaseUpBeforeTheEffect: an order is answered after its run has ended (or at the end of awaitPromotion). The answer settles
-// it at once and the lease is given up, 300 ms before the promotion. The next holder's order, sent in between, is settled by that promotion.
-func TestReviewLateAnswerGivesTheLeaseUpBeforeTheEffect(t *testing.T) {
+// TestLateAnswerDoesNotEndTheLeaseBeforeTheEffect guards against a lease that is given up between the answer to an order and the promotion: the order
+// was answered after its run had ended, or as it ended.
+func TestLateAnswerDoesNotEndTheLeaseBeforeTheEffect(t *testing.T) {
 	const effect = 300 * time.Millisecond
 	for name, c := range map[string]struct {
 		answerIn time.Duration
@@ -164,9 +164,9 @@
 	}
 }
 
-// TestReviewOrderOfTheNextHolderIsSettledByAnAnsweredOne plays the schedule to its end: a third holder gets a token above that of an order which the
-// platform still holds.
-func TestReviewOrderOfTheNextHolderIsSettledByAnAnsweredOne(t *testing.T) {
+// TestOrderOfTheNextHolderIsNotSettledByAnAnsweredOne plays that to its end: a third holder gets a token above that of an order which the platform
+// still holds.
+func TestOrderOfTheNextHolderIsNotSettledByAnAnsweredOne(t *testing.T) {
 	t.Parallel()
 	rows := stand.NewRows()
 	dialer := &changingDialer{states: map[model.InstanceName]model.InstanceState{"i-2": pausedForTerm2, "i-3": pausedForTerm2}}
@@ -209,9 +209,9 @@
 	require.Error(t, err, "the order of fence %d is still under way, and fence %d may order", second.Fence, third.Fence)
 }
 
-// TestReviewAnsweredOrderIsPendingUntilItsEffect: a run finds an unanswered order of its own process. The order is answered; before its effect another
-// replica is chosen and ordered.
-func TestReviewAnsweredOrderIsPendingUntilItsEffect(t *testing.T) {
+// TestAnsweredOrderIsPendingUntilItsEffect guards against another replica that is ordered between the answer to an order and its effect, by a run that
+// found the order unanswered.
+func TestAnsweredOrderIsPendingUntilItsEffect(t *testing.T) {
 	t.Parallel()
 	rows := stand.NewRows()
 	equal := pausedForTerm2
