Failover: an answered order is settled by its effect; orders in a row that is not known are taken over

- A process that took over the lease of its VM, and got no answer to its claim, took the row for its own at the next claim and forgot the orders of the process before: another VM could order under a higher token at once.
Orders have names now; every order in a row of this VM that this process neither keeps nor has settled is taken over, whoever wrote the row.
- An answer settled an order before its effect, some hundred ms later, if it came after the run or as it ended: the effect would settle the next holder's order, or another replica be ordered in between.
- A run that had found or brought about the promotion asked for it once more, and went on to choose if that request was not answered.
It completes with what it knows; and nothing is chosen, also in a handover, while a promotion may be under way.
- The state of an instance settles an order only for that instance and term.
A RESUME is sent only if its deadline lies in the time in which it may be sent.

--- a/coord/answered_test.go
+++ b/coord/answered_test.go
@@ -147,19 +147,17 @@
 				time.AfterFunc(answerTimeout/2, end)
 			}
 			_, err := first.promote(ctx, first.s.config.Cache.Snapshot().Instances["i-2"])
-			require.Error(t, err)
+			require.Equal(t, c.ended, err != nil, "a run that was not ended orders again, or sees the effect")
 			a.giveUp(t.Context()) // As at the end of a run.
 			<-answered
 
 			b := newLeaseClaimant(t, rows, "b", "first")
 			b.register()
-			var next state.CoordinatorLease
 			require.Never(t, func() bool {
 				b.refresh()
-				next, err = b.claim(t.Context())
+				_, err = b.claim(t.Context())
 				return err == nil
 			}, effect-200*time.Millisecond, 10*time.Millisecond, "the lease was given up before the effect of the answered order")
-			_ = next
 		})
 	}
 }
@@ -230,11 +228,9 @@
 	delete(dialer.states, "i-2")
 	dialer.mu.Unlock()
 	next := newRunOf(a, lease, dialer, promotions)
-	require.NoError(t, next.awaitOrders(t.Context()))
-	_, _, found := next.findPromoted()
-	require.False(t, found)
-	chooseCtx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
-	defer cancel()
-	target, err := next.choose(chooseCtx)
-	require.Error(t, err, "%s is chosen, while the answered order for i-2 has its effect within some hundred ms", target.Name)
+	target, term, err := next.awaitOrders(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, leadsTerm2.Term, term, "the run waits for the effect, and nothing else is ordered")
+	require.Equal(t, model.InstanceName("i-2"), target.Name)
+	require.Len(t, promotions.orders, 1)
 }
--- a/coord/compare.go
+++ b/coord/compare.go
@@ -61,8 +61,12 @@
 	}
 }
 
-// seekTarget returns the instance to promote, if the leases on the old primary have ended and an instance can take over.
+// seekTarget returns the instance to promote, if the leases on the old primary have ended, no order can be under way that promotes another one, and an
+// instance can take over.
 func (r *replacement) seekTarget(now time.Time) (model.Instance, bool) {
+	if r.s.lease.isKindPending(r.group, state.OrderPromote) {
+		return model.Instance{}, false
+	}
 	if r.handedOver && r.allReleased() {
 		if target, ok := r.handOverTarget(); ok {
 			return target, true
--- a/coord/inherit.go
+++ b/coord/inherit.go
@@ -14,31 +14,37 @@
 	return row.Fence > 0 && !row.Released && row.Holder == l.self && row.Boot != l.boot && known && vm.Boot == l.boot && vm.Version > row.Version
 }
 
-// inheritOrders takes over the orders of the process before, which may be under way; the caller holds the lock. The orders are kept after a
-// successful write of the row, by settleInherited, or dropped by dropOrders. Orders that are known to have been carried out are not taken over.
-func (l *coordinatorLease) inheritOrders(ctx context.Context, now time.Time, row state.CoordinatorLease) []recordedOrder {
+// takeOverOrders takes over the orders in a row of this VM that this process has not written, as far as it knows: it was written by the process before,
+// or the answer to this process's write was lost. The orders may be under way; those that are known to be settled are left out. The caller holds the
+// lock, and settles the orders by settleTakenOver after a successful write of the row, or drops them.
+func (l *coordinatorLease) takeOverOrders(ctx context.Context, now time.Time, row state.CoordinatorLease) []recordedOrder {
 	if row.Version == l.settledVersion {
 		return nil
 	}
 	orders := make([]recordedOrder, 0, len(row.Orders))
 	for _, order := range row.Orders {
+		if l.settled[order.ID] || l.isKept(order.ID) {
+			continue
+		}
 		orders = append(orders, l.keepOrder(ctx, now, order, l.unchangedSince.Add(-order.Age)))
 	}
 	return orders
 }
 
-// dropOrders drops orders that were taken over; the caller holds the lock.
-func (l *coordinatorLease) dropOrders(orders []recordedOrder) {
-	for _, order := range orders {
-		l.orders[order.number].carriedOut()
-		delete(l.orders, order.number)
+// isKept reports whether this process keeps an order that may be under way; the caller holds the lock.
+func (l *coordinatorLease) isKept(id state.OrderID) bool {
+	for _, order := range l.orders {
+		if order.ID == id {
+			return true
+		}
 	}
+	return false
 }
 
-// settleInherited keeps the lease for orders that were taken over until they are settled; the caller holds the lock.
-func (l *coordinatorLease) settleInherited(orders []recordedOrder) {
+// settleTakenOver keeps the lease for orders that were taken over until they are settled; the caller holds the lock.
+func (l *coordinatorLease) settleTakenOver(orders []recordedOrder) {
 	for _, order := range orders {
-		l.log.Info("order of the process before taken over", "order", order.number, "sent", l.orders[order.number].SentOrder)
+		l.log.Info("order taken over", "order", order.number, "sent", l.orders[order.number].SentOrder)
 		l.users++
 		go l.settleLater(order)
 	}
--- a/coord/inherit_test.go
+++ b/coord/inherit_test.go
@@ -44,7 +44,7 @@
 	require.Equal(t, lease.Fence, next.Fence, "the holder stays")
 	require.Len(t, next.Orders, 1, "its order may still be under way")
 	require.Greater(t, next.Orders[0].Age, time.Duration(0))
-	next.Orders[0].Age = 0
+	next.Orders[0].Age, next.Orders[0].ID = 0, ""
 	require.Equal(t, orderOfG, next.Orders[0])
 	require.True(t, successor.isPending("g"))
 	successor.giveUp(t.Context())
@@ -68,7 +68,7 @@
 	require.NoError(t, err)
 	again, err := successor.recordOrder(t.Context(), lease.Fence, orderOfG)
 	require.NoError(t, err)
-	successor.recordCarriedOut("g")
+	successor.recordCarriedOut("g", "i-2", 2)
 	require.NoError(t, again.ctx.Err())
 	require.Len(t, successor.held.Orders, 2)
 	for _, order := range successor.held.Orders {
@@ -114,12 +114,14 @@
 			require.NoError(t, err)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*retryInterval)
 			defer cancel()
-			err = r.awaitOrders(ctx)
+			target, term, err := r.awaitOrders(ctx)
 			require.Equal(t, c.again, err == nil, err)
 			if !c.again {
 				require.Zero(t, promotions.count())
 				return
 			}
+			require.Equal(t, model.InstanceName("i-2"), target.Name)
+			require.Equal(t, leadsTerm2.Term, term)
 			require.Equal(t, model.InstanceName("i-2"), promotions.orders[0].Target)
 			require.Equal(t, r.lease.Fence, promotions.orders[0].Fence)
 			require.True(t, r.s.lease.isPending("g"), "the first order may still be under way")
--- a/coord/lease.go
+++ b/coord/lease.go
@@ -38,6 +38,8 @@
 	// orders are this process's orders that may be under way, by the number under which they were recorded.
 	orders     map[int]pendingOrder
 	orderCount int
+	// settled holds the orders that were settled or not sent since the row was last known to be written.
+	settled map[state.OrderID]bool
 	// settledVersion is the version of the row whose orders are known to have been carried out.
 	settledVersion int64
 	// observedVersion is the last observed version of the row, and unchangedSince since when it has not changed.
@@ -87,14 +89,16 @@
 		return state.CoordinatorLease{}, errLeaseHeld
 	}
 	var orders []recordedOrder
-	if inherited {
-		orders = l.inheritOrders(ctx, now, row)
+	if (own || inherited) && row.Version != l.held.Version {
+		orders = l.takeOverOrders(ctx, now, row)
 	}
 	if err := l.write(ctx, now, l.next(now, row)); err != nil {
-		l.dropOrders(orders)
+		for _, order := range orders {
+			l.dropOrder(order)
+		}
 		return state.CoordinatorLease{}, err
 	}
-	l.settleInherited(orders)
+	l.settleTakenOver(orders)
 	l.users++
 	return l.held, nil
 }
@@ -138,6 +142,7 @@
 	}
 	next.Version = version
 	l.held, l.claimedAt = next, claimedAt
+	clear(l.settled)
 	l.log.Info("coordinator lease written", "fence", next.Fence, "renewals", next.Renewals, "released", next.Released, "orders", next.Orders, "row-version", version)
 	return nil
 }
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -39,11 +39,12 @@
 	if l.held.Fence != fence || l.held.Released {
 		return recordedOrder{}, errors.Wrap(errLeaseHeld, "the lease was lost")
 	}
-	order.Repeated = l.markRepeated(order)
+	order.ID, order.Repeated = state.NewOrderID(), l.markRepeated(order)
 	now := clock.Now()
 	recorded := l.keepOrder(ctx, now, order, now)
 	if err := l.write(ctx, now, l.next(now, l.held)); err != nil {
-		l.dropOrders([]recordedOrder{recorded})
+		l.dropOrder(recorded)
+		l.noteSettled(order.ID)
 		return recordedOrder{}, err
 	}
 	recorded.sendBy = elect.SendBy(now)
@@ -77,11 +78,25 @@
 	return repeated
 }
 
+// dropOrder forgets an order; the caller holds the lock.
+func (l *coordinatorLease) dropOrder(order recordedOrder) {
+	l.orders[order.number].carriedOut()
+	delete(l.orders, order.number)
+}
+
+// noteSettled notes that an order cannot be under way, should a row with it come back; the caller holds the lock.
+func (l *coordinatorLease) noteSettled(id state.OrderID) {
+	if l.settled == nil {
+		l.settled = map[state.OrderID]bool{}
+	}
+	l.settled[id] = true
+}
+
 // settle records that an order was carried out, was not sent, or has outlived its lifetime. The lease is given up if nothing else uses it.
 func (l *coordinatorLease) settle(order recordedOrder) {
 	l.mu.Lock()
-	l.orders[order.number].carriedOut()
-	delete(l.orders, order.number)
+	l.noteSettled(l.orders[order.number].ID)
+	l.dropOrder(order)
 	l.mu.Unlock()
 	l.giveUp(context.WithoutCancel(order.ctx))
 }
@@ -99,9 +114,9 @@
 	}
 }
 
-// recordCarriedOut records that a promotion that this process ordered for a group was carried out. If it was ordered several times, the others may
-// still be under way, even if one was answered. The end of a pause may be under way all the same.
-func (l *coordinatorLease) recordCarriedOut(group model.GroupName) {
+// recordCarriedOut records that an instance of a group leads a term, which may be the effect of an order of this process. If several orders for the
+// group may be under way, it does not show which of them were carried out, even if one was answered. The end of a pause may be under way all the same.
+func (l *coordinatorLease) recordCarriedOut(group model.GroupName, target model.InstanceName, term model.Term) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var found []pendingOrder
@@ -110,7 +125,7 @@
 			found = append(found, order)
 		}
 	}
-	if len(found) == 1 && !found[0].Repeated {
+	if len(found) == 1 && !found[0].Repeated && found[0].Target == target && term >= found[0].Term {
 		found[0].carriedOut()
 	}
 }
@@ -136,10 +151,15 @@
 
 // isPending reports whether an order of this process for a group may be under way.
 func (l *coordinatorLease) isPending(group model.GroupName) bool {
+	return l.isKindPending(group, state.OrderPromote) || l.isKindPending(group, state.OrderResume)
+}
+
+// isKindPending reports whether an order of a kind that this process sent for a group may be under way.
+func (l *coordinatorLease) isKindPending(group model.GroupName, kind state.OrderKind) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, order := range l.orders {
-		if order.Group == group {
+		if order.Group == group && order.Kind == kind {
 			return true
 		}
 	}
@@ -178,6 +198,16 @@
 	l.settle(order)
 }
 
+// settleAnswered settles an order that was answered once its effect shows, or after promotionTimeout. Until then another order must not be judged by
+// what the target shows, and no other instance may be ordered.
+func (l *coordinatorLease) settleAnswered(order recordedOrder) {
+	select {
+	case <-order.ctx.Done():
+	case <-time.After(promotionTimeout):
+	}
+	l.settle(order)
+}
+
 // claimLease claims the coordinator lease. If orders of its last holder may be under way, it first looks whether they were carried out.
 func (s *Supervisor) claimLease(ctx context.Context) (state.CoordinatorLease, error) {
 	if row := s.config.Cache.Snapshot().Coordinator; len(row.Orders) > 0 && s.lease.isInherited(row) {
--- a/coord/orders_test.go
+++ b/coord/orders_test.go
@@ -72,7 +72,7 @@
 				require.NoError(t, err)
 				orders = append(orders, order)
 			}
-			holder.recordCarriedOut("g")
+			holder.recordCarriedOut("g", "i-2", 2)
 			for _, order := range orders {
 				require.Equal(t, count == 1, order.ctx.Err() != nil)
 			}
@@ -90,7 +90,7 @@
 	second, err := holder.recordOrder(t.Context(), lease.Fence, order)
 	require.NoError(t, err)
 	holder.settle(second)
-	holder.recordCarriedOut("g")
+	holder.recordCarriedOut("g", "i-2", 2)
 	require.NoError(t, first.ctx.Err(), "it may still be under way")
 	holder.refresh()
 	require.True(t, holder.cache.Snapshot().Coordinator.Orders[0].Repeated, "nor may another VM settle it by the promotion")
@@ -141,9 +141,9 @@
 	require.NoError(t, err)
 	promote, err := holder.recordOrder(t.Context(), lease.Fence, state.SentOrder{Group: "g", Kind: state.OrderPromote, Target: "i-2", Term: 2})
 	require.NoError(t, err)
-	holder.recordCarriedOut("g")
+	holder.recordCarriedOut("g", "i-2", 2)
 	require.Error(t, promote.ctx.Err(), "the only order for a promotion was carried out")
 	holder.settle(promote)
-	holder.recordCarriedOut("g")
+	holder.recordCarriedOut("g", "i-2", 2)
 	require.NoError(t, resume.ctx.Err(), "the end of the pause may be under way")
 }
--- a/coord/promote.go
+++ b/coord/promote.go
@@ -25,7 +25,7 @@
 		}
 		term, err := r.awaitPromotion(target)
 		if err == nil {
-			r.s.lease.recordCarriedOut(r.group)
+			r.s.lease.recordCarriedOut(r.group, target.Name, term)
 			return term, nil
 		}
 		if ctx.Err() != nil || !r.s.lease.isPending(r.group) {
@@ -77,11 +77,14 @@
 	})
 	r.s.config.Log.Info("promotion ordered", "group", r.group, "instance", target.Name, "fence", r.lease.Fence, "order", recorded.number,
 		"after", clock.Now().Sub(sentAt), "error", err)
-	if !errors.Is(err, model.ErrUncertain) {
+	switch {
+	case err == nil:
+		go r.s.lease.settleAnswered(recorded)
+	case errors.Is(err, model.ErrUncertain):
+		go r.s.lease.settleLater(recorded)
+	default:
 		r.s.lease.settle(recorded)
-		return err
 	}
-	go r.s.lease.settleLater(recorded)
 	return err
 }
 
@@ -96,22 +99,23 @@
 
 // awaitOrders waits until no order for the group can be under way, or the target of one has been promoted. An order takes effect whenever it
 // arrives: a promotion would remove what another primary acknowledged meanwhile, and the end of a pause what replicas confirmed after they
-// were compared. If the target of the orders can take over, it is ordered again.
-func (r *replacement) awaitOrders(ctx context.Context) error {
+// were compared. If the target of the orders can take over, it is ordered again. awaitOrders returns the promoted instance and its term, or a zero
+// term.
+func (r *replacement) awaitOrders(ctx context.Context) (model.Instance, model.Term, error) {
 	for r.s.lease.isPending(r.group) {
-		if _, _, found := r.findPromoted(); found {
-			return nil
+		if promoted, term, found := r.findPromoted(); found {
+			return promoted, term, nil
 		}
 		if target, ok := r.seekOrdered(clock.Now()); ok {
-			if _, err := r.promote(ctx, target); err == nil {
-				return nil
+			if term, err := r.promote(ctx, target); err == nil {
+				return target, term, nil
 			}
 		}
 		if !retry.Sleep(ctx, retryInterval) {
-			return errors.New("an order for the group may still be under way")
+			return model.Instance{}, 0, errors.New("an order for the group may still be under way")
 		}
 	}
-	return nil
+	return model.Instance{}, 0, nil
 }
 
 // seekOrdered returns the instance that was ordered to be promoted, if it can take over now. An earlier order for it does no more than the next one,
@@ -164,7 +168,7 @@
 // completePromoted records the instance that an earlier order promoted.
 func (r *replacement) completePromoted(ctx context.Context, promoted model.Instance, term model.Term) error {
 	r.s.config.Log.Info("an earlier order was carried out", "group", r.group, "instance", promoted.Name, "term", term)
-	r.s.lease.recordCarriedOut(r.group)
+	r.s.lease.recordCarriedOut(r.group, promoted.Name, term)
 	return r.complete(ctx, promoted, term)
 }
 
--- a/coord/replace.go
+++ b/coord/replace.go
@@ -119,13 +119,17 @@
 		return errors.Wrap(err, "announcing the replacement")
 	}
 	r.revokeLeases(ctx)
-	if err := r.awaitOrders(ctx); err != nil {
+	target, term, err := r.awaitOrders(ctx)
+	if err != nil {
 		return err
 	}
-	if target, term, found := r.findPromoted(); found {
+	if term == 0 {
+		target, term, _ = r.findPromoted()
+	}
+	if term > 0 {
 		return r.completePromoted(ctx, target, term)
 	}
-	target, err := r.choose(ctx)
+	target, err = r.choose(ctx)
 	if errors.Is(err, errKept) {
 		return r.keep(ctx)
 	}
@@ -136,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	term, err := r.promote(ctx, target)
+	term, err = r.promote(ctx, target)
 	if err != nil {
 		return err
 	}
--- a/coord/resume.go
+++ b/coord/resume.go
@@ -21,7 +21,7 @@
 	}
 	var unanswered atomic.Int64
 	r.callReplicas(func(conn model.InstanceConn, deadline time.Time) (model.InstanceState, error) {
-		if !clock.Now().Before(recorded.sendBy) {
+		if !clock.Now().Add(orderTimeout).Before(recorded.sendBy) {
 			return model.InstanceState{}, errors.Wrap(model.ErrNotSent, "too little time is left of the coordinator lease")
 		}
 		state, err := conn.Resume(deadline)
--- a/coord/resume_test.go
+++ b/coord/resume_test.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// TestHandoverOrdersNothingWhileAPromotionMayBeUnderWay guards against lost commits: a promotion that is still under way would replace the instance that
+// took over from a demoted primary.
+func TestHandoverOrdersNothingWhileAPromotionMayBeUnderWay(t *testing.T) {
+	dialer := &changingDialer{states: map[model.InstanceName]model.InstanceState{"i-3": pausedForTerm2}}
+	r, _ := newResumedRun(t, dialer)
+	r.handedOver, r.final = true, pausedForTerm2.Received
+	order, err := r.s.lease.recordOrder(t.Context(), r.lease.Fence, orderOfG)
+	require.NoError(t, err)
+	_, found := r.seekTarget(clock.Now())
+	require.False(t, found, "i-2 may be promoted")
+	r.s.lease.settle(order)
+	target, found := r.seekTarget(clock.Now())
+	require.True(t, found)
+	require.Equal(t, model.InstanceName("i-3"), target.Name)
+}
+
 // TestResumeOfALostLeaseIsNotSent guards against a RESUME of a process that was stopped while another VM took the lease over.
 func TestResumeOfALostLeaseIsNotSent(t *testing.T) {
 	rows := stand.NewRows()
--- a/elect/claims_test.go
+++ b/elect/claims_test.go
@@ -27,7 +27,7 @@
 		next.fence = row.fence
 	}
 	vm.recorded, vm.unanswered, vm.answered = 0, 0, false
-	if row.isHeld(i) && row.boot != vm.boot && claim.OrderPending && s.rule.inherits {
+	if row.isHeld(i) && claim.OrderPending && s.rule.inherits {
 		vm.recorded, vm.unanswered, next.repeated = 1, 1, row.repeated || !leads
 		next.age = s.now.Sub(vm.observedSince) + row.age
 		vm.settleBy = SettledBy(s.now.Add(-next.age))
@@ -35,8 +35,13 @@
 	s.begin(vm, next, leads)
 }
 
-// begin lets a VM begin its turn as the holder, with a row that it has written.
+// begin lets a VM begin its turn as the holder, with a row that it has written. If the answer to the write is lost, the VM does not know of it.
 func (s *orderSchedule) begin(vm *simulatedVM, next simulatedRow, leads bool) {
+	if s.chance(10) {
+		next.age = 0
+		s.row = next
+		return
+	}
 	switch {
 	case leads && vm.unanswered == 0:
 		next.pending, next.released, s.target.replaced = false, true, true
--- a/elect/orders_test.go
+++ b/elect/orders_test.go
@@ -26,7 +26,7 @@
 		// nothing after SendBy, sameToken renews under the same token, counts waits for the answer to each order that was repeated, and asks looks at
 		// the target between record and sending, and orders nothing if it leads already.
 		// awaits keeps the lease after an answer until the effect of the order shows.
-		// inherits takes over the orders of the process before on the same VM together with its lease.
+		// inherits takes over the orders in a row of the same VM that this process does not know.
 		waits, keeps, checks, sameToken, counts, asks, awaits, inherits bool
 	}
 
@@ -244,7 +244,7 @@
 		{name: "takes an answer for that to each order", waits: true, keeps: true, checks: true, sameToken: true, asks: true, awaits: true, inherits: true},
 		{name: "orders what an earlier order has carried out", waits: true, keeps: true, checks: true, sameToken: true, counts: true, awaits: true, inherits: true},
 		{name: "gives the lease up before the effect of an answered order shows", waits: true, keeps: true, checks: true, sameToken: true, counts: true, asks: true, inherits: true},
-		{name: "forgets the orders of the process before", waits: true, keeps: true, checks: true, sameToken: true, counts: true, asks: true, awaits: true},
+		{name: "forgets orders that the row shows", waits: true, keeps: true, checks: true, sameToken: true, counts: true, asks: true, awaits: true},
 	} {
 		t.Run(rule.name, func(t *testing.T) {
 			found := false
--- a/state/rows.go
+++ b/state/rows.go
@@ -66,6 +66,8 @@
 
 	// SentOrder is an order that takes effect whenever it arrives, whatever has happened since it was sent.
 	SentOrder struct {
+		// ID tells the order from all others.
+		ID    OrderID `json:",omitempty"`
 		Group model.GroupName
 		Kind  OrderKind
 		// Target is the instance to promote, and Term the least term of its promotion; both are zero for other kinds.
@@ -77,6 +79,9 @@
 		Age time.Duration `json:",omitempty"`
 	}
 
+	// OrderID names one SentOrder.
+	OrderID string
+
 	// OrderKind is the kind of a SentOrder.
 	OrderKind string
 
@@ -94,6 +99,9 @@
 // NewWriteID returns the name of a new write.
 func NewWriteID() WriteID { return WriteID(uuid.NewString()) }
 
+// NewOrderID returns the name of a new order.
+func NewOrderID() OrderID { return OrderID(uuid.NewString()) }
+
 // Row returns the record as a row of the store.
 func (r PrimaryRecord) Row() (model.StoredRow, error) {
 	return row(prefixPrimary+string(r.Group), r.Version, r)
