Serve: the lines after a failed set-up stand once

tryRead, sendPossibleCommit, sendInTransaction and beginOnce each noted the error for the log and told the tracker of the failure after a set-up that failed. callerSession.setup does so now, for the instance that it is given. Behaviour unchanged: the rollback of a transaction, which notes neither, still calls Setup of the connection itself. go test ./serve passes.

--- a/serve/read.go
+++ b/serve/read.go
@@ -91,9 +91,7 @@
 	}
 	defer func() { c.server.config.Source.Put(clock.Now(), conn) }()
 	deadline := c.attemptDeadline(clock.Now(), c.deadline(op))
-	if err := c.setup(conn, deadline, s); err != nil {
-		c.lastErr = err
-		c.server.trackFailure(to.instance.Name, err)
+	if err := c.setup(conn, deadline, to.instance.Name, s.prepared); err != nil {
 		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
 	}
 	sentAt := clock.Now()
--- a/serve/statement.go
+++ b/serve/statement.go
@@ -29,9 +29,15 @@
 	return s, ""
 }
 
-// setup sets the session's values on a connection and prepares the statement, so that send sends nothing else. It comes before the check of a lease.
-func (c *callerSession) setup(conn model.PooledConn, deadline time.Time, s statement) error {
-	return conn.Setup(deadline, c.session.Values, s.prepared)
+// setup sets the session's values on a connection to an instance and, if p is set, prepares a statement, so that nothing else is sent with the
+// statement. It comes before the check of a lease.
+func (c *callerSession) setup(conn model.PooledConn, deadline time.Time, instance model.InstanceName, p *model.Prepared) error {
+	err := conn.Setup(deadline, c.session.Values, p)
+	if err != nil {
+		c.lastErr = err
+		c.server.trackFailure(instance, err)
+	}
+	return err
 }
 
 // send runs the statement on a connection.
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -68,9 +68,7 @@
 
 func (c *callerSession) sendInTransaction(deadline time.Time, s statement) model.Reply {
 	step := sess.Step{Kind: sess.StepInTransaction, Wrote: c.tx.wrote}
-	if err := c.setup(c.tx.conn, deadline, s); err != nil {
-		c.lastErr = err
-		c.server.trackFailure(c.tx.target.instance.Name, err)
+	if err := c.setup(c.tx.conn, deadline, c.tx.target.instance.Name, s.prepared); err != nil {
 		return model.Reply{Fault: model.FaultAborted, Detail: "the instance did not take the values of the session"}
 	}
 	sentAt := clock.Now()
@@ -155,9 +153,7 @@
 		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
 	}
 	deadline := c.attemptDeadline(clock.Now(), c.deadline(op))
-	if err := conn.Setup(deadline, c.session.Values, nil); err != nil {
-		c.lastErr = err
-		c.server.trackFailure(to.instance.Name, err)
+	if err := c.setup(conn, deadline, to.instance.Name, nil); err != nil {
 		c.server.config.Source.Put(clock.Now(), conn)
 		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
 	}
--- a/serve/write.go
+++ b/serve/write.go
@@ -79,9 +79,7 @@
 	group := op.route.Group
 	c.server.inflight.add(group, 1)
 	defer c.server.inflight.add(group, -1)
-	if err := c.setup(conn, deadline, s); err != nil {
-		c.lastErr = err
-		c.server.trackFailure(to.instance.Name, err)
+	if err := c.setup(conn, deadline, to.instance.Name, s.prepared); err != nil {
 		return model.Reply{}, err
 	}
 	s.commits = step.MayCommit()
