One loop skips repeated greetings

Receive still returns ErrRepeatedGreeting: settle needs it, since behind a greeting that came alone there is no answer to wait for.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -65,11 +65,7 @@
 // next returns the next of the received answers, or reads one if there is none.
 func (c *Conn) next(deadline time.Time, received *[]model.Reply) (model.Reply, error) {
 	if len(*received) == 0 {
-		reply, err := c.instanceConn.Receive(clock.Wall(deadline))
-		for errors.Is(err, model.ErrRepeatedGreeting) {
-			reply, err = c.instanceConn.Receive(clock.Wall(deadline))
-		}
-		return reply, err
+		return model.NextAnswer(func() (model.Reply, error) { return c.instanceConn.Receive(clock.Wall(deadline)) })
 	}
 	reply := (*received)[0]
 	*received = (*received)[1:]
--- a/model/instanceconn.go
+++ b/model/instanceconn.go
@@ -119,6 +119,16 @@
 	}
 )
 
+// NextAnswer receives until something comes that is no repeated greeting, and returns that.
+func NextAnswer(receive func() (Reply, error)) (Reply, error) {
+	for {
+		reply, err := receive()
+		if !errors.Is(err, ErrRepeatedGreeting) {
+			return reply, err
+		}
+	}
+}
+
 // Refused returns the refusal of an instance that is in the chain of err, and whether there is one.
 func Refused(err error) (*RefusedError, bool) {
 	var refused *RefusedError
