One function for whichever deadline is first

conns/exchange.go had it as earlier; conns/grant.go and remote/conn.go had the same three lines. It is clock.Earlier now, since both use that clock.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -24,3 +24,11 @@
 	}
 	return time.Now().Add(t.Sub(Now()))
 }
+
+// Earlier returns the earlier of two times.
+func Earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -92,7 +92,7 @@
 		now := clock.Now()
 		reply, err := model.Reply{}, errSettle
 		if now.Before(deadline) {
-			reply, err = c.instanceConn.Receive(clock.Wall(earlier(deadline, now.Add(arrivedTimeout))))
+			reply, err = c.instanceConn.Receive(clock.Wall(clock.Earlier(deadline, now.Add(arrivedTimeout))))
 		}
 		switch {
 		case errors.Is(err, model.ErrRepeatedGreeting):
@@ -119,10 +119,3 @@
 		return errors.Wrapf(model.ErrUnmatched, "%s", verdictUnasked)
 	}
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/conns/grant.go
+++ b/conns/grant.go
@@ -98,10 +98,7 @@
 	if g.evict != nil {
 		g.evict.instanceConn.Close()
 	}
-	deadline := now.Add(dialTimeout)
-	if request.Deadline.Before(deadline) {
-		deadline = request.Deadline
-	}
+	deadline := clock.Earlier(request.Deadline, now.Add(dialTimeout))
 	conn, err := p.config.Dialer.Dial(clock.Wall(deadline), request.Instance, request.Team)
 	if err == nil {
 		c := &Conn{
--- a/remote/conn.go
+++ b/remote/conn.go
@@ -116,9 +116,7 @@
 	c.source.config.Client.markUnreachable(now, c.owner)
 	_ = c.stream.conn.Close()
 	request := c.request
-	if deadline.Before(request.Deadline) {
-		request.Deadline = deadline
-	}
+	request.Deadline = clock.Earlier(deadline, request.Deadline)
 	connection, err := c.source.firstReachable(now, c.remaining, request)
 	if err != nil {
 		c.broken = true
