--- a/soak/conn.go
+++ b/soak/conn.go
@@ -57,7 +57,7 @@
 }
 
 // PlanAnswer passes on how the instance sends the next answer.
-func (c *checkedConn) PlanAnswer() platform.AnswerPlan { return platform.PlanAnswer(c.InstanceConn) }
+func (c *checkedConn) PlanAnswer() model.AnswerPlan { return platform.PlanAnswer(c.InstanceConn) }
 
 // settle takes over what a statement changed on the connection, and checks that it may have run.
 func (c *checkedConn) settle(q model.Query, reply model.Reply) {
--- a/soak/conn_test.go
+++ b/soak/conn_test.go
@@ -21,7 +21,7 @@
 	return []model.Reply{{Fault: c.faults[queries[0].Text], State: model.TxNone}}, nil
 }
 
-func (c answeringConn) PlanAnswer() platform.AnswerPlan { return platform.AnswerPlan{Cut: true} }
+func (c answeringConn) PlanAnswer() model.AnswerPlan { return model.AnswerPlan{Cut: true} }
 
 // TestStatementsThatRunOtherwiseThanSentAreViolations violates each check of the statements that run on a connection once.
 func TestStatementsThatRunOtherwiseThanSentAreViolations(t *testing.T) {
@@ -79,7 +79,7 @@
 
 func TestCheckedConnectionPassesOnHowAnswersAreSent(t *testing.T) {
 	conn := newCheckedConn(answeringConn{}, newHistory(), "t")
-	require.Equal(t, platform.AnswerPlan{Cut: true}, platform.PlanAnswer(conn))
+	require.Equal(t, model.AnswerPlan{Cut: true}, platform.PlanAnswer(conn))
 }
 
 // TestSeriesOfFaultsLeaveEachOther guards against a fault of answers that ends with another fault of its instance, and the other way round.
