model: what an empty kind of a query means

The comment said that it is then unknown which answers a success can have. In truth such a query is judged as one without rows that keeps the state and needs no proof (conns, possible and TestAnswersAreJudgedByWhatTheConnectionHasHad). Only the comment changes. go test ./model passes.

--- a/model/instanceconn.go
+++ b/model/instanceconn.go
@@ -38,7 +38,7 @@
 	Query struct {
 		// ID is the caller's request id of the statement; it is empty for statements of the proxy itself.
 		ID RequestID
-		// Kind tells which answers a success can have; if it is empty, that is unknown.
+		// Kind tells which answers a success can have. With an empty kind, it has no row, need not have a proof and keeps the state of the transaction.
 		Kind CommandKind
 		Text string
 		// Since is the log position that the instance must have received; the zero position requires nothing.
