conns: the hash of a reply is taken once

A success was hashed up to four times (judge twice, add twice). match takes the hash once now, together with the key under which it is remembered, and judge and add get both. The tests hash what they give, and check what they checked. A fault is hashed too, which it was not; it ends its connection.

--- a/conns/answers.go
+++ b/conns/answers.go
@@ -35,11 +35,17 @@
 	// answers remembers what an instance has answered on a connection. Only an answer that is none of these is certainly no repetition.
 	answers struct {
 		seed maphash.Seed
-		// had holds the hash of each whole answer, by that of its proof or, without one, by itself.
+		// had holds the hash of each whole answer by its key.
 		had map[uint64]uint64
 		// uncertain is set after an accepted answer that may have been an earlier one once more: the statement's own may still come, and may be a fault.
 		uncertain bool
 	}
+
+	// hashedReply is a reply with the hash of all of it and its key, which is the hash of its proof or, without one, that of all of it.
+	hashedReply struct {
+		model.Reply
+		key, whole uint64
+	}
 )
 
 func newAnswers() *answers {
@@ -48,7 +54,7 @@
 
 // judge tells whether a reply is the answer to a query that was sent in a transaction state. A connection ends with its first fault, so that a fault
 // cannot be an earlier one.
-func (a *answers) judge(q model.Query, state model.TxState, reply model.Reply) verdict {
+func (a *answers) judge(q model.Query, state model.TxState, reply hashedReply) verdict {
 	possible := a.possible(q, state, reply)
 	switch {
 	case reply.Fault != "" && a.uncertain && q.Commits:
@@ -65,9 +71,9 @@
 }
 
 // possible tells whether a success can be that of a query, and if not, why.
-func (a *answers) possible(q model.Query, state model.TxState, reply model.Reply) verdict {
+func (a *answers) possible(q model.Query, state model.TxState, reply hashedReply) verdict {
 	switch {
-	case a.hadProof(reply) || (q.Kind.GivesProof() && reply.Proof == ""):
+	case (reply.Proof != "" && a.hadKey(reply)) || (q.Kind.GivesProof() && reply.Proof == ""):
 		return verdictProof
 	case !mayHaveRows(q.Kind, len(reply.Rows)):
 		return verdictRows
@@ -97,45 +103,33 @@
 }
 
 // add remembers a reply that was accepted as the answer to a query.
-func (a *answers) add(q model.Query, reply model.Reply) {
+func (a *answers) add(q model.Query, reply hashedReply) {
 	switch {
 	case reply.Proof != "", mustBeNew(q.Kind):
 		a.uncertain = false
 	case a.hadWhole(reply):
 		a.uncertain = true
 	}
-	whole := a.hash(reply)
-	if reply.Proof != "" {
-		a.had[maphash.String(a.seed, reply.Proof)] = whole
-		return
-	}
-	a.had[whole] = whole
+	a.had[reply.key] = reply.whole
 }
 
 // hadWhole reports whether the connection has had the same reply.
-func (a *answers) hadWhole(reply model.Reply) bool {
-	whole := a.hash(reply)
-	key := whole
-	if reply.Proof != "" {
-		key = maphash.String(a.seed, reply.Proof)
-	}
-	had, known := a.had[key]
-	return known && had == whole
+func (a *answers) hadWhole(reply hashedReply) bool {
+	whole, had := a.had[reply.key]
+	return had && whole == reply.whole
 }
 
-func (a *answers) hadProof(reply model.Reply) bool {
-	if reply.Proof == "" {
-		return false
-	}
-	_, had := a.had[maphash.String(a.seed, reply.Proof)]
+// hadKey reports whether the connection has had a reply with the same key.
+func (a *answers) hadKey(reply hashedReply) bool {
+	_, had := a.had[reply.key]
 	return had
 }
 
 // full reports whether no more replies can be remembered.
 func (a *answers) full() bool { return len(a.had) >= maxAnswers }
 
-// hash returns the hash of all parts of a reply that the instance sent.
-func (a *answers) hash(reply model.Reply) uint64 {
+// hash returns a reply with the hashes of the parts that the instance sent.
+func (a *answers) hash(reply model.Reply) hashedReply {
 	var h maphash.Hash
 	h.SetSeed(a.seed)
 	write := func(part string) {
@@ -151,5 +145,9 @@
 	for _, part := range []string{reply.Proof, string(reply.Fault), reply.Detail, string(reply.State), reply.Mark.String()} {
 		write(part)
 	}
-	return h.Sum64()
+	whole := h.Sum64()
+	if reply.Proof == "" {
+		return hashedReply{Reply: reply, key: whole, whole: whole}
+	}
+	return hashedReply{Reply: reply, key: maphash.String(a.seed, reply.Proof), whole: whole}
 }
--- a/conns/answers_test.go
+++ b/conns/answers_test.go
@@ -51,11 +51,11 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			a := newAnswers()
-			a.add(model.Query{Kind: model.CommandRead}, read)
-			a.add(model.Query{Kind: model.CommandSet}, done)
-			a.add(model.Query{Kind: model.CommandStatus}, status)
-			a.add(model.Query{Kind: model.CommandBegin}, begun)
-			require.Equal(t, c.want, a.judge(model.Query{ID: "1", Kind: c.kind}, c.state, c.reply))
+			a.add(model.Query{Kind: model.CommandRead}, a.hash(read))
+			a.add(model.Query{Kind: model.CommandSet}, a.hash(done))
+			a.add(model.Query{Kind: model.CommandStatus}, a.hash(status))
+			a.add(model.Query{Kind: model.CommandBegin}, a.hash(begun))
+			require.Equal(t, c.want, a.judge(model.Query{ID: "1", Kind: c.kind}, c.state, a.hash(c.reply)))
 		})
 	}
 }
@@ -65,7 +65,7 @@
 	c := newConn(&fakeInstanceConn{})
 	for n := range maxAnswers {
 		require.True(t, c.reusable(), n)
-		c.accept(model.Query{Kind: model.CommandRead}, model.Reply{Proof: fmt.Sprint(n), State: model.TxNone})
+		c.accept(model.Query{Kind: model.CommandRead}, c.answers.hash(model.Reply{Proof: fmt.Sprint(n), State: model.TxNone}))
 	}
 	require.False(t, c.reusable())
 }
@@ -73,7 +73,7 @@
 // TestConnectionEndsWithItsFirstFault guards against a promise that an instance gave to an earlier statement of the connection.
 func TestConnectionEndsWithItsFirstFault(t *testing.T) {
 	c := newConn(&fakeInstanceConn{})
-	c.accept(model.Query{Kind: model.CommandWrite}, model.Reply{Fault: model.FaultBusy, State: model.TxNone})
+	c.accept(model.Query{Kind: model.CommandWrite}, c.answers.hash(model.Reply{Fault: model.FaultBusy, State: model.TxNone}))
 	require.False(t, c.reusable())
 }
 
@@ -81,11 +81,11 @@
 func TestFaultAfterAnUncertainAcknowledgementIsNoPromise(t *testing.T) {
 	a, set, done := newAnswers(), model.Query{Kind: model.CommandSet}, model.Reply{State: model.TxNone}
 	write, busy := model.Query{Kind: model.CommandWrite, Commits: true}, model.Reply{Fault: model.FaultBusy, State: model.TxNone}
-	a.add(set, done)
-	require.Equal(t, verdictAccepted, a.judge(write, model.TxNone, busy))
-	a.add(set, done)
-	require.Equal(t, verdictAmbiguous, a.judge(write, model.TxNone, busy))
-	require.Equal(t, verdictAccepted, a.judge(model.Query{Kind: model.CommandRead}, model.TxNone, busy), "a read leaves nothing that is kept")
-	a.add(write, model.Reply{Proof: "p", State: model.TxNone})
-	require.Equal(t, verdictAccepted, a.judge(write, model.TxNone, busy), "the own answer of the value has come before")
+	a.add(set, a.hash(done))
+	require.Equal(t, verdictAccepted, a.judge(write, model.TxNone, a.hash(busy)))
+	a.add(set, a.hash(done))
+	require.Equal(t, verdictAmbiguous, a.judge(write, model.TxNone, a.hash(busy)))
+	require.Equal(t, verdictAccepted, a.judge(model.Query{Kind: model.CommandRead}, model.TxNone, a.hash(busy)), "a read leaves nothing that is kept")
+	a.add(write, a.hash(model.Reply{Proof: "p", State: model.TxNone}))
+	require.Equal(t, verdictAccepted, a.judge(write, model.TxNone, a.hash(busy)), "the own answer of the value has come before")
 }
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -32,21 +32,21 @@
 	replies := make([]model.Reply, 0, len(queries))
 	repeated := false
 	for len(replies) < len(queries) {
-		reply, err := c.next(deadline, &received)
+		next, err := c.next(deadline, &received)
 		if err != nil {
 			c.broken = true
 			return nil, unanswered(err, repeated)
 		}
-		q := queries[len(replies)]
+		q, reply := queries[len(replies)], c.answers.hash(next)
 		switch v := c.answers.judge(q, c.state, reply); v {
 		case verdictAccepted:
 			replies = append(replies, c.accept(q, reply))
 		case verdictRepeated:
 			repeated = true
-			c.report(q, reply, v)
+			c.report(q, next, v)
 		default:
 			c.broken = true
-			c.report(q, reply, v)
+			c.report(q, next, v)
 			return nil, errors.Mark(errors.Wrapf(model.ErrUnmatched, "%s", v), model.ErrNoAnswer)
 		}
 	}
@@ -73,17 +73,17 @@
 }
 
 // accept records an accepted reply and returns it. After an uncertain acknowledgement a fault may be older than its query, and so may its log position.
-func (c *Conn) accept(q model.Query, reply model.Reply) model.Reply {
+func (c *Conn) accept(q model.Query, reply hashedReply) model.Reply {
 	c.state = reply.State
 	if reply.Fault == "" {
 		c.answers.add(q, reply)
-		return reply
+		return reply.Reply
 	}
 	c.broken = true
 	if c.answers.uncertain {
 		reply.Mark = model.Mark{}
 	}
-	return reply
+	return reply.Reply
 }
 
 // settle discards repetitions of earlier answers that arrived while none was due. Anything else that arrived breaks the connection.
@@ -96,7 +96,7 @@
 		}
 		switch {
 		case errors.Is(err, model.ErrRepeatedGreeting):
-		case err == nil && c.answers.hadWhole(reply):
+		case err == nil && c.answers.hadWhole(c.answers.hash(reply)):
 			c.report(model.Query{}, reply, verdictRepeated)
 		default:
 			c.broken = true
