serve: why the states of answers are checked twice

The checks in serve are left for owners with an older program, whose connections do not look at the state, and remote passes it on as it came. Without them a rolling update could leave a transaction open on a connection that goes back. Comments only. go test ./serve passes.

--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -82,7 +82,7 @@
 		return model.Reply{Fault: sess.UnansweredFault(step, !clock.Now().Before(deadline)), Detail: "the instance did not answer"}
 	}
 	c.recordAnswer(sentAt, c.tx.op, c.tx.target, true, reply)
-	if reply.Fault == "" && reply.State != model.TxOpen {
+	if reply.Fault == "" && reply.State != model.TxOpen { // Package conns refuses it, but an owner with an older program passes it on.
 		c.tx.conn.Break()
 		return model.Reply{Fault: model.FaultAborted, Detail: "the instance left the transaction"}
 	}
@@ -164,7 +164,7 @@
 	}
 	begin := model.Query{ID: c.tx.beginID, Kind: model.CommandBegin, Text: c.server.config.Formatter.Begin(c.tx.readOnly), Since: to.since}
 	reply, err := conn.Run(deadline, c.session.Values, begin)
-	if err == nil && reply.Fault == "" && reply.State != model.TxOpen {
+	if err == nil && reply.Fault == "" && reply.State != model.TxOpen { // As in sendInTransaction.
 		err = errors.New("the instance did not open the transaction")
 		conn.Break()
 	}
@@ -216,7 +216,7 @@
 		}
 		return model.Reply{Fault: model.FaultAborted, Detail: detail}
 	}
-	if reply.Fault != "" || reply.State != model.TxNone {
+	if reply.Fault != "" || reply.State != model.TxNone { // The state as in sendInTransaction.
 		c.tx.conn.Break()
 		return reply
 	}
@@ -265,7 +265,7 @@
 		if err == nil {
 			reply, err = conn.Run(deadline, c.session.Values, model.Query{ID: t.rollbackID, Kind: model.CommandRollback, Text: c.server.config.Formatter.Rollback()})
 		}
-		if err != nil || reply.Fault != "" || reply.State != model.TxNone {
+		if err != nil || reply.Fault != "" || reply.State != model.TxNone { // The state as in sendInTransaction.
 			conn.Break()
 		}
 	}
