The values of a session are given to a connection once

conns.Conn.Run and Execute took values that only a connection of another VM used, because model.PooledConn asked for them; both had to be those of Setup before. Run and Execute take none now: Setup of a connection of another VM keeps them and sends them with each statement. Owners and the messages to them are unchanged, and so is behaviour: serve calls Setup with the values of its session before each statement, BEGIN and ROLLBACK.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -108,24 +108,20 @@
 	return nil
 }
 
-// Run runs one query; Setup comes before it.
-//
-// After model.ErrNoAnswer the query may or may not have run, and the connection is broken.
-func (c *Conn) Run(deadline time.Time, _ map[string]string, q model.Query) (model.Reply, error) {
-	return c.run(deadline, q)
-}
-
 // Execute is Run for a prepared statement.
-func (c *Conn) Execute(deadline time.Time, _ map[string]string, p model.Prepared, q model.Query, arguments string) (model.Reply, error) {
+func (c *Conn) Execute(deadline time.Time, p model.Prepared, q model.Query, arguments string) (model.Reply, error) {
 	name, prepared := c.prepared[p]
 	if !prepared {
 		return model.Reply{}, errors.Mark(errors.New("the statement is not prepared on the connection"), model.ErrNotSent)
 	}
 	q.Text = c.formatter.Execute(name, arguments)
-	return c.run(deadline, q)
+	return c.Run(deadline, q)
 }
 
-func (c *Conn) run(deadline time.Time, q model.Query) (model.Reply, error) {
+// Run runs one query; Setup comes before it.
+//
+// After model.ErrNoAnswer the query may or may not have run, and the connection is broken.
+func (c *Conn) Run(deadline time.Time, q model.Query) (model.Reply, error) {
 	sentAt := clock.Now()
 	replies, err := c.exchange(deadline, q)
 	if err != nil {
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -187,14 +187,14 @@
 	read, write := model.Prepared{Shape: "q"}, model.Prepared{Shape: "q", Write: true}
 	for _, p := range []model.Prepared{read, write, read} {
 		require.NoError(t, c.Setup(deadline, nil, &p))
-		_, err := c.Execute(deadline, nil, p, model.Query{ID: "1", Kind: model.CommandExecute}, "item")
+		_, err := c.Execute(deadline, p, model.Query{ID: "1", Kind: model.CommandExecute}, "item")
 		require.NoError(t, err)
 	}
 	require.Equal(t, []string{"PREPARE p1 READ q", "EXEC p1 item", "PREPARE p2 WRITE q", "EXEC p2 item", "EXEC p1 item"}, fake.sent)
 	_, err := setupAndRun(c, deadline, map[string]string{"a": "b"}, model.Query{ID: "1", Kind: model.CommandRead, Text: "READ a"})
 	require.NoError(t, err)
 	require.NoError(t, c.Setup(deadline, nil, &read))
-	_, err = c.Execute(deadline, nil, read, model.Query{ID: "1", Kind: model.CommandExecute}, "item")
+	_, err = c.Execute(deadline, read, model.Query{ID: "1", Kind: model.CommandExecute}, "item")
 	require.NoError(t, err)
 	require.Equal(t, []string{"RESET", "PREPARE p3 READ q", "EXEC p3 item"}, fake.sent[len(fake.sent)-3:], "a reset drops prepared statements")
 }
--- a/conns/pace_test.go
+++ b/conns/pace_test.go
@@ -70,7 +70,7 @@
 					t.Errorf("refused: %v", err)
 					return
 				}
-				reply, err := c.Run(time.Time{}, nil, model.Query{Kind: model.CommandRead, Text: "READ item", Work: true})
+				reply, err := c.Run(time.Time{}, model.Query{Kind: model.CommandRead, Text: "READ item", Work: true})
 				p.Put(clock.Now(), c)
 				if err == nil && reply.Fault == "" {
 					return
--- a/conns/scripted_test.go
+++ b/conns/scripted_test.go
@@ -80,5 +80,5 @@
 	if err := c.Setup(deadline, values, nil); err != nil {
 		return model.Reply{}, err
 	}
-	return c.Run(deadline, values, q)
+	return c.Run(deadline, q)
 }
--- a/conns/twice_test.go
+++ b/conns/twice_test.go
@@ -104,7 +104,7 @@
 		p := model.Prepared{Shape: fmt.Sprint("q", n)}
 		require.NoError(t, conn.Setup(in(time.Second), nil, &p))
 		before := len(instance.texts())
-		_, err := conn.Execute(in(time.Second), nil, p, model.Query{ID: "1", Kind: model.CommandExecute, Text: "EXEC s a"}, "a")
+		_, err := conn.Execute(in(time.Second), p, model.Query{ID: "1", Kind: model.CommandExecute, Text: "EXEC s a"}, "a")
 		require.NoError(t, err)
 		require.Len(t, instance.texts(), before+1, "shape %d: sent after Setup: %v", n, instance.texts()[before:])
 	}
--- a/remote/answer_test.go
+++ b/remote/answer_test.go
@@ -57,7 +57,7 @@
 	for _, id := range []model.RequestID{"a", "b", "c", "d", "e", "f"} {
 		c := get(t, source, time.Second)
 		for _, step := range []model.RequestID{"1", "2", "3"} {
-			reply, err := c.Run(clock.Now().Add(200*time.Millisecond), nil, model.Query{ID: id + step, Text: "READ item"})
+			reply, err := c.Run(clock.Now().Add(200*time.Millisecond), model.Query{ID: id + step, Text: "READ item"})
 			if err != nil {
 				requireIs(t, err, model.ErrNoAnswer)
 				require.True(t, c.Broken())
@@ -109,7 +109,7 @@
 	source := newSource(owner)
 	for range 3 {
 		c := get(t, source, time.Second)
-		_, err := c.Run(inOneSecond(), nil, model.Query{ID: "q", Kind: model.CommandRead, Text: "READ item"})
+		_, err := c.Run(inOneSecond(), model.Query{ID: "q", Kind: model.CommandRead, Text: "READ item"})
 		require.NoError(t, err)
 		source.Put(clock.Now(), c)
 	}
@@ -126,13 +126,13 @@
 	source := newSource(owner)
 	for range 5 {
 		c := get(t, source, time.Second)
-		_, err := c.Run(clock.Now().Add(30*time.Millisecond), nil, model.Query{ID: "late"})
+		_, err := c.Run(clock.Now().Add(30*time.Millisecond), model.Query{ID: "late"})
 		requireIs(t, err, model.ErrNoAnswer)
 		source.Put(clock.Now(), c)
 		require.Empty(t, source.config.Client.idle[owner])
 		source.config.Client.unreachableUntil = map[netip.AddrPort]time.Time{}
 		c = get(t, source, time.Second)
-		reply, err := c.Run(inOneSecond(), nil, model.Query{ID: "q"})
+		reply, err := c.Run(inOneSecond(), model.Query{ID: "q"})
 		require.NoError(t, err)
 		require.Equal(t, []string{"q"}, reply.Rows)
 		time.Sleep(20 * time.Millisecond)
@@ -165,7 +165,7 @@
 		t.Run(name, func(t *testing.T) {
 			source := newSource(startScriptedOwner(t, serve))
 			c := get(t, source, time.Second)
-			_, err := c.Run(clock.Now().Add(5*time.Second), nil, model.Query{ID: "q"})
+			_, err := c.Run(clock.Now().Add(5*time.Second), model.Query{ID: "q"})
 			requireIs(t, err, model.ErrNoAnswer)
 			require.True(t, c.Broken())
 			require.Equal(t, name == "a huge message", errors.Is(err, errMessageTooLong), "%v", err)
@@ -191,15 +191,15 @@
 func TestRequestWhoseAskerHasGoneIsNotRun(t *testing.T) {
 	owner, source := newTestOwner(t, 1)
 	c := get(t, source, time.Second)
-	_, err := c.Run(inOneSecond(), nil, model.Query{ID: "b", Kind: model.CommandBegin, Text: "BEGIN"})
+	_, err := c.Run(inOneSecond(), model.Query{ID: "b", Kind: model.CommandBegin, Text: "BEGIN"})
 	require.NoError(t, err)
 	conn := sendRaw(t, owner, Request{Query: model.Query{ID: "gone", Kind: model.CommandWrite, Text: "WRITE item gone"}})
 	time.Sleep(50 * time.Millisecond)
 	require.NoError(t, conn.Close())
 	time.Sleep(50 * time.Millisecond)
-	_, err = c.Run(inOneSecond(), nil, model.Query{ID: "r", Kind: model.CommandRollback, Text: "ROLLBACK"})
+	_, err = c.Run(inOneSecond(), model.Query{ID: "r", Kind: model.CommandRollback, Text: "ROLLBACK"})
 	require.NoError(t, err)
-	reply, err := get(t, source, time.Second).Run(inOneSecond(), nil, model.Query{ID: "q", Kind: model.CommandRead, Text: "READ item"})
+	reply, err := get(t, source, time.Second).Run(inOneSecond(), model.Query{ID: "q", Kind: model.CommandRead, Text: "READ item"})
 	require.NoError(t, err, "the connection is free")
 	require.NotContains(t, reply.Rows, "gone")
 	require.Never(t, func() bool { return owner.cluster.CommitCount("gone") > 0 }, 100*time.Millisecond, 10*time.Millisecond)
@@ -219,7 +219,7 @@
 		now := clock.Now()
 		c, err := source.Get(now, conns.Request{Instance: model.Instance{Name: "i-1"}, Team: teamName, Deadline: now.Add(time.Second), Term: 1})
 		require.NoError(t, err)
-		reply, err := c.Run(inOneSecond(), nil, model.Query{ID: model.RequestID(fmt.Sprint("q", n)), Kind: model.CommandRead, Text: "READ item"})
+		reply, err := c.Run(inOneSecond(), model.Query{ID: model.RequestID(fmt.Sprint("q", n)), Kind: model.CommandRead, Text: "READ item"})
 		require.NoError(t, err)
 		require.Equal(t, model.TxNone, reply.State)
 		require.NotContains(t, reply.Rows, "left")
--- a/remote/conn.go
+++ b/remote/conn.go
@@ -26,6 +26,8 @@
 	owner   netip.AddrPort
 	stream  *stream
 	request conns.Request
+	// values are those of the session, which the owner sets before each statement.
+	values map[string]string
 	// remaining are the owners to use next if this one takes no new work.
 	remaining []Owner
 	// local is set after a switch of owners to this VM: a connection of this VM's own pool, which all later statements use.
@@ -35,8 +37,9 @@
 	ended bool
 }
 
-// Setup does nothing on a connection of another VM, which its owner sets up.
+// Setup sends nothing on a connection of another VM, which its owner sets up.
 func (c *Conn) Setup(deadline time.Time, values map[string]string, p *model.Prepared) error {
+	c.values = values
 	if c.local == nil {
 		return nil
 	}
@@ -44,13 +47,13 @@
 }
 
 // Run runs one query on the connection.
-func (c *Conn) Run(deadline time.Time, values map[string]string, q model.Query) (model.Reply, error) {
-	return c.run(deadline, Request{Values: values, Query: q})
+func (c *Conn) Run(deadline time.Time, q model.Query) (model.Reply, error) {
+	return c.run(deadline, Request{Values: c.values, Query: q})
 }
 
 // Execute runs one prepared statement on the connection.
-func (c *Conn) Execute(deadline time.Time, values map[string]string, p model.Prepared, q model.Query, arguments string) (model.Reply, error) {
-	return c.run(deadline, Request{Values: values, Query: q, Prepared: &p, Arguments: arguments})
+func (c *Conn) Execute(deadline time.Time, p model.Prepared, q model.Query, arguments string) (model.Reply, error) {
+	return c.run(deadline, Request{Values: c.values, Query: q, Prepared: &p, Arguments: arguments})
 }
 
 // run runs a statement; if an owner takes no new work, it tries the next.
--- a/remote/lease_test.go
+++ b/remote/lease_test.go
@@ -32,7 +32,7 @@
 	require.NoError(t, err)
 	require.NoError(t, c.Setup(inOneSecond(), map[string]string{"zone": "x"}, nil))
 	own.setLeased(false)
-	_, err = c.Run(inOneSecond(), map[string]string{"zone": "x"}, model.Query{ID: "w", Kind: model.CommandWrite, Text: "WRITE item data"})
+	_, err = c.Run(inOneSecond(), model.Query{ID: "w", Kind: model.CommandWrite, Text: "WRITE item data"})
 	requireIs(t, err, ErrLease)
 	requireIs(t, err, model.ErrNotSent)
 	require.Zero(t, own.cluster.CommitCount("w"))
@@ -42,7 +42,7 @@
 // of statement it sends.
 func TestRequestOfAnOlderProgramIsNotRun(t *testing.T) {
 	owner, source := newTestOwner(t, 1)
-	_, err := get(t, source, time.Second).Run(inOneSecond(), nil, model.Query{ID: "w", Text: "WRITE item data"})
+	_, err := get(t, source, time.Second).Run(inOneSecond(), model.Query{ID: "w", Text: "WRITE item data"})
 	requireIs(t, err, model.ErrNotSent)
 	require.Zero(t, owner.cluster.CommitCount("w"))
 }
--- a/remote/server.go
+++ b/remote/server.go
@@ -240,7 +240,7 @@
 
 func execute(conn *conns.Conn, deadline time.Time, r Request) (model.Reply, error) {
 	if r.Prepared != nil {
-		return conn.Execute(deadline, r.Values, *r.Prepared, r.Query, r.Arguments)
+		return conn.Execute(deadline, *r.Prepared, r.Query, r.Arguments)
 	}
-	return conn.Run(deadline, r.Values, r.Query)
+	return conn.Run(deadline, r.Query)
 }
--- a/serve/logged_test.go
+++ b/serve/logged_test.go
@@ -27,7 +27,7 @@
 
 func (*unansweredConn) Setup(time.Time, map[string]string, *model.Prepared) error { return nil }
 
-func (c *unansweredConn) Run(_ time.Time, _ map[string]string, q model.Query) (model.Reply, error) {
+func (c *unansweredConn) Run(_ time.Time, q model.Query) (model.Reply, error) {
 	if q.Kind == model.CommandBegin {
 		return model.Reply{State: model.TxOpen}, nil
 	}
--- a/serve/statement.go
+++ b/serve/statement.go
@@ -46,7 +46,7 @@
 		ID: s.command.ID, Kind: s.command.Kind, Text: s.command.Text, Since: since, Commits: s.commits, Work: s.command.Kind != model.CommandCommit,
 	}
 	if s.prepared != nil {
-		return conn.Execute(deadline, c.session.Values, *s.prepared, query, s.command.Arguments)
+		return conn.Execute(deadline, *s.prepared, query, s.command.Arguments)
 	}
-	return conn.Run(deadline, c.session.Values, query)
+	return conn.Run(deadline, query)
 }
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -163,7 +163,7 @@
 		return attempt{err: errLease}
 	}
 	begin := model.Query{ID: c.tx.beginID, Kind: model.CommandBegin, Text: c.server.config.Formatter.Begin(c.tx.readOnly), Since: to.since}
-	reply, err := conn.Run(deadline, c.session.Values, begin)
+	reply, err := conn.Run(deadline, begin)
 	if err == nil && reply.Fault == "" && reply.State != model.TxOpen { // As in sendInTransaction.
 		err = errors.New("the instance did not open the transaction")
 		conn.Break()
@@ -263,7 +263,7 @@
 		err := conn.Setup(deadline, c.session.Values, nil)
 		var reply model.Reply
 		if err == nil {
-			reply, err = conn.Run(deadline, c.session.Values, model.Query{ID: t.rollbackID, Kind: model.CommandRollback, Text: c.server.config.Formatter.Rollback()})
+			reply, err = conn.Run(deadline, model.Query{ID: t.rollbackID, Kind: model.CommandRollback, Text: c.server.config.Formatter.Rollback()})
 		}
 		if err != nil || reply.Fault != "" || reply.State != model.TxNone { // The state as in sendInTransaction.
 			conn.Break()
