--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -32,21 +32,21 @@
 	replies := make([]model.Reply, 0, len(queries))
 	repeated := false
 	for len(replies) < len(queries) {
-		reply, err := c.next(deadline, &received)
+		next, err := c.next(deadline, &received)
 		if err != nil {
 			c.broken = true
 			return nil, unanswered(err, repeated)
 		}
-		q := queries[len(replies)]
+		q, reply := queries[len(replies)], c.answers.hash(next)
 		switch v := c.answers.judge(q, c.state, reply); v {
 		case verdictAccepted:
 			replies = append(replies, c.accept(q, reply))
 		case verdictRepeated:
 			repeated = true
-			c.report(q, reply, v)
+			c.report(q, next, v)
 		default:
 			c.broken = true
-			c.report(q, reply, v)
+			c.report(q, next, v)
 			return nil, errors.Mark(errors.Wrapf(model.ErrUnmatched, "%s", v), model.ErrNoAnswer)
 		}
 	}
@@ -65,11 +65,7 @@
 // next returns the next of the received answers, or reads one if there is none.
 func (c *Conn) next(deadline time.Time, received *[]model.Reply) (model.Reply, error) {
 	if len(*received) == 0 {
-		reply, err := c.instanceConn.Receive(clock.Wall(deadline))
-		for errors.Is(err, model.ErrRepeatedGreeting) {
-			reply, err = c.instanceConn.Receive(clock.Wall(deadline))
-		}
-		return reply, err
+		return model.NextAnswer(func() (model.Reply, error) { return c.instanceConn.Receive(clock.Wall(deadline)) })
 	}
 	reply := (*received)[0]
 	*received = (*received)[1:]
@@ -77,17 +73,17 @@
 }
 
 // accept records an accepted reply and returns it. After an uncertain acknowledgement a fault may be older than its query, and so may its log position.
-func (c *Conn) accept(q model.Query, reply model.Reply) model.Reply {
+func (c *Conn) accept(q model.Query, reply hashedReply) model.Reply {
 	c.state = reply.State
 	if reply.Fault == "" {
 		c.answers.add(q, reply)
-		return reply
+		return reply.Reply
 	}
 	c.broken = true
 	if c.answers.uncertain {
 		reply.Mark = model.Mark{}
 	}
-	return reply
+	return reply.Reply
 }
 
 // settle discards repetitions of earlier answers that arrived while none was due. Anything else that arrived breaks the connection.
@@ -96,11 +92,11 @@
 		now := clock.Now()
 		reply, err := model.Reply{}, errSettle
 		if now.Before(deadline) {
-			reply, err = c.instanceConn.Receive(clock.Wall(earlier(deadline, now.Add(arrivedTimeout))))
+			reply, err = c.instanceConn.Receive(clock.Wall(clock.Earlier(deadline, now.Add(arrivedTimeout))))
 		}
 		switch {
 		case errors.Is(err, model.ErrRepeatedGreeting):
-		case err == nil && c.answers.hadWhole(reply):
+		case err == nil && c.answers.hadWhole(c.answers.hash(reply)):
 			c.report(model.Query{}, reply, verdictRepeated)
 		default:
 			c.broken = true
@@ -123,10 +119,3 @@
 		return errors.Wrapf(model.ErrUnmatched, "%s", verdictUnasked)
 	}
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/serve/transaction.go
+++ b/serve/transaction.go
@@ -68,9 +68,7 @@
 
 func (c *callerSession) sendInTransaction(deadline time.Time, s statement) model.Reply {
 	step := sess.Step{Kind: sess.StepInTransaction, Wrote: c.tx.wrote}
-	if err := c.setup(c.tx.conn, deadline, s); err != nil {
-		c.lastErr = err
-		c.server.trackFailure(c.tx.target.instance.Name, err)
+	if err := c.setup(c.tx.conn, deadline, c.tx.target.instance.Name, s.prepared); err != nil {
 		return model.Reply{Fault: model.FaultAborted, Detail: "the instance did not take the values of the session"}
 	}
 	sentAt := clock.Now()
@@ -84,7 +82,7 @@
 		return model.Reply{Fault: sess.UnansweredFault(step, !clock.Now().Before(deadline)), Detail: "the instance did not answer"}
 	}
 	c.recordAnswer(sentAt, c.tx.op, c.tx.target, true, reply)
-	if reply.Fault == "" && reply.State != model.TxOpen {
+	if reply.Fault == "" && reply.State != model.TxOpen { // Package conns refuses it, but an owner with an older program passes it on.
 		c.tx.conn.Break()
 		return model.Reply{Fault: model.FaultAborted, Detail: "the instance left the transaction"}
 	}
@@ -155,9 +153,7 @@
 		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
 	}
 	deadline := c.attemptDeadline(clock.Now(), c.deadline(op))
-	if err := conn.Setup(deadline, c.session.Values, nil); err != nil {
-		c.lastErr = err
-		c.server.trackFailure(to.instance.Name, err)
+	if err := c.setup(conn, deadline, to.instance.Name, nil); err != nil {
 		c.server.config.Source.Put(clock.Now(), conn)
 		return attempt{err: err, retryAfter: c.retryAfter(op, to, err)}
 	}
@@ -167,8 +163,8 @@
 		return attempt{err: errLease}
 	}
 	begin := model.Query{ID: c.tx.beginID, Kind: model.CommandBegin, Text: c.server.config.Formatter.Begin(c.tx.readOnly), Since: to.since}
-	reply, err := conn.Run(deadline, c.session.Values, begin)
-	if err == nil && reply.Fault == "" && reply.State != model.TxOpen {
+	reply, err := conn.Run(deadline, begin)
+	if err == nil && reply.Fault == "" && reply.State != model.TxOpen { // As in sendInTransaction.
 		err = errors.New("the instance did not open the transaction")
 		conn.Break()
 	}
@@ -220,7 +216,7 @@
 		}
 		return model.Reply{Fault: model.FaultAborted, Detail: detail}
 	}
-	if reply.Fault != "" || reply.State != model.TxNone {
+	if reply.Fault != "" || reply.State != model.TxNone { // The state as in sendInTransaction.
 		c.tx.conn.Break()
 		return reply
 	}
@@ -267,9 +263,9 @@
 		err := conn.Setup(deadline, c.session.Values, nil)
 		var reply model.Reply
 		if err == nil {
-			reply, err = conn.Run(deadline, c.session.Values, model.Query{ID: t.rollbackID, Kind: model.CommandRollback, Text: c.server.config.Formatter.Rollback()})
+			reply, err = conn.Run(deadline, model.Query{ID: t.rollbackID, Kind: model.CommandRollback, Text: c.server.config.Formatter.Rollback()})
 		}
-		if err != nil || reply.Fault != "" || reply.State != model.TxNone {
+		if err != nil || reply.Fault != "" || reply.State != model.TxNone { // The state as in sendInTransaction.
 			conn.Break()
 		}
 	}
