Soak: SIGHUP goes to processes that hear it

It now looks at the process's signal masks and sends SIGHUP from the first moment on at which the process ignores or handles it; every later end by SIGHUP is a violation as before. A process that has not come so far reads the changed settings anyway.

--- a/soak/process.go
+++ b/soak/process.go
@@ -90,11 +90,11 @@
 	return command, true
 }
 
-// signal sends a signal to the process, if it runs. A process ended by SIGKILL or SIGTERM is not started again before downtime has passed.
+// signal sends a signal to the process, if it runs, and SIGHUP only if the process hears it. A process ended by SIGKILL or SIGTERM is not started again before downtime has passed.
 func (p *process) signal(signal syscall.Signal, downtime time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.command == nil {
+	if p.command == nil || (signal == syscall.SIGHUP && !hearsReload(p.command.Process.Pid)) {
 		return
 	}
 	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
