--- a/soak/history.go
+++ b/soak/history.go
@@ -54,6 +54,9 @@
 		items map[string][]writtenValue
 		// recent holds the newest items of each group.
 		recent map[model.GroupName][]string
+		// groups holds the group of each item, and acked the acknowledged writes of each group.
+		groups map[string]model.GroupName
+		acked  map[model.GroupName][]ackedWrite
 		// arrivals holds when the operations of each team reached an instance.
 		arrivals   map[model.TeamName][]arrival
 		violations []string
@@ -80,6 +83,7 @@
 	return &history{
 		sent: map[model.RequestID]sentStatement{}, items: map[string][]writtenValue{}, recent: map[model.GroupName][]string{},
 		arrivals: map[model.TeamName][]arrival{}, kinds: map[string]int{}, outcomes: map[outcome]int{}, told: map[model.RequestID]outcome{},
+		groups: map[string]model.GroupName{}, acked: map[model.GroupName][]ackedWrite{},
 	}
 }
 
@@ -125,6 +129,7 @@
 func (h *history) recordItem(group model.GroupName, item string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.groups[item] = group
 	h.recent[group] = append(h.recent[group], item)
 	if n := len(h.recent[group]); n > recentItems {
 		h.recent[group] = h.recent[group][n-recentItems:]
@@ -153,6 +158,10 @@
 	all[len(all)-1].outcome, all[len(all)-1].at = o, time.Now()
 	h.outcomes[o]++
 	h.told[id] = o
+	if o == outcomeAcked {
+		group := h.groups[item]
+		h.acked[group] = append(h.acked[group], ackedWrite{h.sent[id].passage.sentAt, all[len(all)-1].at})
+	}
 }
 
 // lastAckedNumber returns the number, counted from 1, of the last value of an item that was acknowledged before an instant; 0 if none was.
--- a/soak/one.go
+++ b/soak/one.go
@@ -18,7 +18,11 @@
 		LateCommits OutcomeCounts
 		// CutOff counts the commits that an instance acknowledged and a promotion removed.
 		CutOff OutcomeCounts
-		// Details holds a line for each order and for each commit that a promotion removed.
+		// Unanswered counts the orders whose senders got no answer within a second, and Waits holds the times from their sending to the next acknowledged
+		// write of their group, in ascending order; of several orders in one wait, that of the first.
+		Unanswered int
+		Waits      []time.Duration
+		// Details holds a line for each order, for each commit that a promotion removed, for each unanswered order and for each group that waited.
 		Details []string
 	}
 
@@ -32,7 +36,12 @@
 	if c.Turn > 0 {
 		turn = "shortest turn " + c.Turn.Round(time.Millisecond).String()
 	}
-	return fmt.Sprintf("%d orders, %d broke fencing, %s, late commits %s, cut off %s", c.Orders, c.Violations, turn, c.LateCommits, c.CutOff)
+	waits := "no wait"
+	if n := len(c.Waits); n > 0 {
+		waits = fmt.Sprintf("waits longest %s, median %s of %d", seconds(c.Waits[n-1]), seconds((c.Waits[(n-1)/2]+c.Waits[n/2])/2), n)
+	}
+	return fmt.Sprintf("%d orders, %d broke fencing, %s, late commits %s, cut off %s; %d orders unanswered, %s", c.Orders, c.Violations, turn, c.LateCommits,
+		c.CutOff, c.Unanswered, waits)
 }
 
 // String returns the counts of callers that were told of a success, of an unknown outcome and of a refusal.
@@ -83,6 +92,7 @@
 				told, cut.AckedAt.Format(clockFormat), cut.Promoted, cut.PromotedAt.Format(clockFormat)))
 		}
 	}
+	s.countWaits(&counts)
 	return counts
 }
 
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -30,7 +30,9 @@
 	Proxy struct {
 		listener net.Listener
 		target   string
-		faults   atomic.Pointer[LinkFaults]
+		// observe wraps the client's end of each connection.
+		observe func(net.Conn) net.Conn
+		faults  atomic.Pointer[LinkFaults]
 
 		mu    sync.Mutex
 		conns map[*net.TCPConn]struct{}
@@ -39,11 +41,15 @@
 
 // NewProxy returns a running proxy on a free loopback port.
 func NewProxy(target string) (*Proxy, error) {
+	return newProxy(target, func(conn net.Conn) net.Conn { return conn })
+}
+
+func newProxy(target string, observe func(net.Conn) net.Conn) (*Proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, conns: map[*net.TCPConn]struct{}{}}
+	p := &Proxy{listener: listener, target: target, observe: observe, conns: map[*net.TCPConn]struct{}{}}
 	p.Set(LinkFaults{})
 	go p.accept()
 	return p, nil
@@ -94,9 +100,10 @@
 	}
 	server := conn.(*net.TCPConn)
 	p.track(client, server)
+	observed := p.observe(client)
 	var wait sync.WaitGroup
-	wait.Go(func() { p.forward(client, server, func(f *LinkFaults) bool { return f.StallToTarget }) })
-	wait.Go(func() { p.forward(server, client, func(f *LinkFaults) bool { return f.StallToClient }) })
+	wait.Go(func() { p.forward(observed, server, func(f *LinkFaults) bool { return f.StallToTarget }) })
+	wait.Go(func() { p.forward(server, observed, func(f *LinkFaults) bool { return f.StallToClient }) })
 	wait.Wait()
 	p.drop(client, server)
 }
@@ -120,7 +127,7 @@
 }
 
 // forward copies data in one direction until either end closes. Stalled or delayed data is held back and keeps its order.
-func (p *Proxy) forward(from, to *net.TCPConn, stalled func(*LinkFaults) bool) {
+func (p *Proxy) forward(from, to net.Conn, stalled func(*LinkFaults) bool) {
 	defer func() {
 		_ = from.Close()
 		_ = to.Close()
--- a/soak/run.go
+++ b/soak/run.go
@@ -73,6 +73,7 @@
 	}
 	close(stop)
 	callers.Wait()
+	s.callersEndedAt = time.Now()
 	s.revokeKey(ctx)
 	s.awaitOrders()
 	s.awaitPrimaries(ctx)
--- a/soak/site.go
+++ b/soak/site.go
@@ -46,6 +46,9 @@
 	// orders takes the orders for new primaries of all groups, and orderListener accepts the connections to it.
 	orders        *stand.Orders
 	orderListener *pausableListener
+	// sentOrders holds the orders that the VMs sent, and callersEndedAt is when the callers ended.
+	sentOrders     orderLog
+	callersEndedAt time.Time
 	// instances holds the instances of all clusters, with the addresses that the proxies connect to.
 	instances []model.Instance
 	// stock holds the items of each group that have values from the beginning.
@@ -221,7 +224,7 @@
 		return err
 	}
 	s.storeProxies = append(s.storeProxies, proxy)
-	orders, err := NewProxy(s.orderListener.Addr().String())
+	orders, err := newProxy(s.orderListener.Addr().String(), s.sentOrders.observe(model.VMID(name)))
 	if err != nil {
 		return err
 	}
