--- a/coord/orders.go
+++ b/coord/orders.go
@@ -1,6 +1,7 @@
 package coord
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -18,6 +19,7 @@
 	// pendingOrder is an order of this process that may be under way. carriedOut ends the wait for its answer.
 	pendingOrder struct {
 		state.SentOrder
+		recordedAt time.Time
 		carriedOut context.CancelFunc
 	}
 
@@ -37,27 +39,31 @@
 	if l.held.Fence != fence || l.held.Released {
 		return recordedOrder{}, errors.Wrap(errLeaseHeld, "the lease was lost")
 	}
-	if l.orders == nil {
-		l.orders = map[int]pendingOrder{}
-	}
-	l.orderCount++
-	recorded := recordedOrder{number: l.orderCount}
 	order.Repeated = l.markRepeated(order)
-	l.orders[recorded.number] = pendingOrder{SentOrder: order}
 	now := clock.Now()
-	if err := l.write(ctx, now, l.next(l.held)); err != nil {
-		delete(l.orders, recorded.number)
+	recorded := l.keepOrder(ctx, now, order, now)
+	if err := l.write(ctx, now, l.next(now, l.held)); err != nil {
+		l.dropOrders([]recordedOrder{recorded})
 		return recordedOrder{}, err
 	}
 	recorded.sendBy = elect.SendBy(now)
-	lifetime := recorded.sendBy.Add(elect.OrderLifetime).Sub(clock.Now())
-	var carriedOut context.CancelFunc
-	recorded.ctx, carriedOut = context.WithTimeout(context.WithoutCancel(ctx), lifetime)
-	l.orders[recorded.number] = pendingOrder{SentOrder: order, carriedOut: carriedOut}
 	l.users++
 	return recorded, nil
 }
 
+// keepOrder keeps an order that was recorded at an instant for as long as it may be under way; the caller holds the lock.
+func (l *coordinatorLease) keepOrder(ctx context.Context, now time.Time, order state.SentOrder, recordedAt time.Time) recordedOrder {
+	if l.orders == nil {
+		l.orders = map[int]pendingOrder{}
+	}
+	l.orderCount++
+	recorded := recordedOrder{number: l.orderCount}
+	var carriedOut context.CancelFunc
+	recorded.ctx, carriedOut = context.WithTimeout(context.WithoutCancel(ctx), elect.SettledBy(recordedAt).Sub(now))
+	l.orders[recorded.number] = pendingOrder{SentOrder: order, recordedAt: recordedAt, carriedOut: carriedOut}
+	return recorded
+}
+
 // markRepeated marks the orders of this process for the same promotion that may be under way, and reports whether there are any; the caller holds
 // the lock.
 func (l *coordinatorLease) markRepeated(order state.SentOrder) bool {
@@ -80,6 +86,19 @@
 	l.giveUp(context.WithoutCancel(order.ctx))
 }
 
+// removeSettled writes the row of the lease without the orders that are settled, so that no other process waits for them.
+func (l *coordinatorLease) removeSettled(ctx context.Context) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held.Fence == 0 || l.held.Released || len(l.held.Orders) == len(l.orders) {
+		return
+	}
+	now := clock.Now()
+	if err := l.write(ctx, now, l.next(now, l.held)); err != nil {
+		l.log.Info("settled orders stay in the row of the lease", "fence", l.held.Fence, "error", err)
+	}
+}
+
 // recordCarriedOut records that a promotion that this process ordered for a group was carried out. If it was ordered several times, the others may
 // still be under way, even if one was answered. The end of a pause may be under way all the same.
 func (l *coordinatorLease) recordCarriedOut(group model.GroupName) {
@@ -97,19 +116,52 @@
 }
 
 // pending returns the orders of this process that may be under way, in the order of their recording; the caller holds the lock.
-func (l *coordinatorLease) pending() []state.SentOrder {
+func (l *coordinatorLease) pending(now time.Time) []state.SentOrder {
 	orders := make([]state.SentOrder, 0, len(l.orders))
 	for _, number := range slices.Sorted(maps.Keys(l.orders)) {
-		orders = append(orders, l.orders[number].SentOrder)
+		order := l.orders[number]
+		order.Age = now.Sub(order.recordedAt)
+		orders = append(orders, order.SentOrder)
 	}
 	return orders
 }
 
+// leastAge returns the age of the last of the orders.
+func leastAge(orders []state.SentOrder) time.Duration {
+	if len(orders) == 0 {
+		return 0
+	}
+	return slices.MinFunc(orders, func(a, b state.SentOrder) int { return cmp.Compare(a.Age, b.Age) }).Age
+}
+
 // isPending reports whether an order of this process for a group may be under way.
 func (l *coordinatorLease) isPending(group model.GroupName) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.ContainsFunc(l.pending(), func(o state.SentOrder) bool { return o.Group == group })
+	for _, order := range l.orders {
+		if order.Group == group {
+			return true
+		}
+	}
+	return false
+}
+
+// orderedTarget returns the instance that this process, or the one before it, ordered to be promoted in a term, if nothing else for the group may be
+// under way.
+func (l *coordinatorLease) orderedTarget(group model.GroupName, term model.Term) (model.InstanceName, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var target model.InstanceName
+	for _, order := range l.orders {
+		switch {
+		case order.Group != group:
+			continue
+		case order.Kind != state.OrderPromote || order.Term != term || (target != "" && target != order.Target):
+			return "", false
+		}
+		target = order.Target
+	}
+	return target, target != ""
 }
 
 // recordSettled records that the orders in the row of a version were carried out.
@@ -120,25 +172,32 @@
 }
 
 // settleLater settles an unanswered order once it is known to be carried out or has outlived its lifetime.
-func (s *Supervisor) settleLater(order recordedOrder) {
+func (l *coordinatorLease) settleLater(order recordedOrder) {
 	<-order.ctx.Done()
-	s.config.Log.Info("order settled without an answer", "order", order.number, "carried-out", errors.Is(order.ctx.Err(), context.Canceled))
-	s.lease.settle(order)
+	l.log.Info("order settled without an answer", "order", order.number, "carried-out", errors.Is(order.ctx.Err(), context.Canceled))
+	l.settle(order)
 }
 
 // claimLease claims the coordinator lease. If orders of its last holder may be under way, it first looks whether they were carried out.
 func (s *Supervisor) claimLease(ctx context.Context) (state.CoordinatorLease, error) {
+	if row := s.config.Cache.Snapshot().Coordinator; len(row.Orders) > 0 && s.lease.isInherited(row) {
+		s.settleCarriedOut(row)
+	}
 	lease, err := s.lease.claim(ctx)
-	if !errors.Is(err, errOrderPending) {
+	if !errors.Is(err, errOrderPending) || !s.settleCarriedOut(s.config.Cache.Snapshot().Coordinator) {
 		return lease, err
 	}
-	row := s.config.Cache.Snapshot().Coordinator
+	return s.lease.claim(ctx)
+}
+
+// settleCarriedOut records that the orders in the row of the lease were carried out, if the instances show that.
+func (s *Supervisor) settleCarriedOut(row state.CoordinatorLease) bool {
 	if !s.carriedOut(row.Orders) {
-		return lease, err
+		return false
 	}
-	s.config.Log.Info("orders of another holder were carried out", "holder", row.Holder, "fence", row.Fence, "orders", row.Orders)
+	s.config.Log.Info("orders of another process were carried out", "holder", row.Holder, "fence", row.Fence, "orders", row.Orders)
 	s.lease.recordSettled(row.Version)
-	return s.lease.claim(ctx)
+	return true
 }
 
 // carriedOut reports whether the instances show that every order was carried out. A repeated order may be under way although one was carried
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -194,7 +194,7 @@
 func TestLeaseIsNotClaimedWhileAnOrderMayArrive(t *testing.T) {
 	recordedAt := now
 	for _, ended := range []bool{false, true} {
-		for sent := time.Duration(0); MayOrder(recordedAt.Add(sent), recordedAt); sent += 100 * time.Millisecond {
+		for sent := time.Duration(0); recordedAt.Add(sent).Before(SendBy(recordedAt)); sent += 100 * time.Millisecond {
 			for age := time.Duration(0); age <= OrderLifetime; age += 100 * time.Millisecond {
 				claim := LeaseClaim{OrderPending: true, HolderEnded: ended, UnchangedSince: recordedAt}
 				require.False(t, MayClaim(recordedAt.Add(sent+age), claim), "sent after %s, carried out after %s more", sent, age)
@@ -203,6 +203,19 @@
 	}
 	claim := LeaseClaim{OrderPending: true, UnchangedSince: recordedAt}
 	require.True(t, MayClaim(recordedAt.Add(pendingOrderDelay), claim))
+	const age = 3 * time.Second
+	rewritten := LeaseClaim{OrderPending: true, PendingAge: age, UnchangedSince: recordedAt.Add(age)}
+	require.False(t, MayClaim(recordedAt.Add(pendingOrderDelay-time.Millisecond), rewritten))
+	require.True(t, MayClaim(recordedAt.Add(pendingOrderDelay), rewritten), "the row has changed since, for another order")
+	old := LeaseClaim{OrderPending: true, PendingAge: time.Minute, UnchangedSince: now}
+	require.False(t, MayClaim(now.Add(takeoverDelay-time.Millisecond), old), "the lease itself has not expired")
+}
+
+// TestOrderOfALostProcessLeavesTimeToRecover guards against a group that is without a primary for longer than a failure may take: its holder of the
+// lease was lost with an order under way.
+func TestOrderOfALostProcessLeavesTimeToRecover(t *testing.T) {
+	const recovery, replacement = 12 * time.Second, time.Second
+	require.LessOrEqual(t, pendingOrderDelay+replacement, recovery)
 }
 
 func TestLeaseOfEndedProcessCanBeClaimedAfterItsLastOrder(t *testing.T) {
--- a/elect/lease.go
+++ b/elect/lease.go
@@ -9,23 +9,27 @@
 	takeoverDelay = 6 * time.Second
 	// minOrderTime is the time that must be left of the lease when an order is sent, and how long the lease of a process that has ended is left alone.
 	minOrderTime = 1300 * time.Millisecond
+	// orderSendTime is how long after the call that records it an order may be sent. It spans the call and the last check of the replicas.
+	orderSendTime = time.Second
 	// OrderLifetime is how long after its sending an order that was not answered may still be carried out: it may lie in the queues of both
 	// kernels and of the platform.
 	OrderLifetime = 10 * time.Second
-	// pendingOrderDelay is how long a lease with an order that may be under way must be unchanged before another VM claims it: the last order under
-	// it is sent within coordinatorTTL of the row's last change.
-	pendingOrderDelay = coordinatorTTL + OrderLifetime
+	// pendingOrderDelay is how long a lease with an order that may be under way must be unchanged before another VM claims it: the row changes with
+	// each order, and the last one is sent within orderSendTime of that.
+	pendingOrderDelay = orderSendTime + OrderLifetime
 )
 
 // LeaseClaim is the state of the coordinator lease as observed by a VM that wants to claim it.
 type LeaseClaim struct {
-	// Released reports that the lease was given up or never held, and HeldHere that this VM holds it.
+	// Released reports that the lease was given up or never held, and HeldHere that this VM holds it, by this process or the one before it.
 	Released, HeldHere bool
 	// HolderEnded reports that the process which holds the lease is known to have ended.
 	HolderEnded bool
 	// OrderPending reports that the holder recorded an order that may be under way. Neither the end of its process nor that of its lease takes
 	// back what has left the process.
 	OrderPending bool
+	// PendingAge is how long before the row's last change the last of these orders was recorded at least.
+	PendingAge time.Duration
 	// UnchangedSince is the instant since which the row of the lease has been observed unchanged.
 	UnchangedSince time.Time
 }
@@ -37,20 +41,25 @@
 		return true
 	}
 	delay := takeoverDelay
-	switch {
-	case c.OrderPending:
-		delay = pendingOrderDelay
-	case c.HolderEnded:
+	if c.HolderEnded {
 		delay = minOrderTime
 	}
+	if c.OrderPending {
+		delay = max(delay, pendingOrderDelay-c.PendingAge)
+	}
 	return now.Sub(c.UnchangedSince) >= delay
 }
 
-// SendBy returns the instant until which an order may be sent under a lease that was claimed or renewed by a call sent at claimedAt.
-func SendBy(claimedAt time.Time) time.Time { return claimedAt.Add(coordinatorTTL - minOrderTime) }
+// SendBy returns the instant until which an order may be sent that was recorded by a call sent at recordedAt.
+func SendBy(recordedAt time.Time) time.Time { return recordedAt.Add(orderSendTime) }
+
+// SettledBy returns the instant from which an order can't be under way any more that was recorded at an instant.
+func SettledBy(recordedAt time.Time) time.Time { return recordedAt.Add(pendingOrderDelay) }
 
-// MayOrder reports whether an order may still be sent under a lease that was claimed or renewed by a call sent at claimedAt.
-func MayOrder(now, claimedAt time.Time) bool { return now.Before(SendBy(claimedAt)) }
+// MayOrder reports whether an order may still be recorded under a lease that was claimed or renewed by a call sent at claimedAt.
+func MayOrder(now, claimedAt time.Time) bool {
+	return now.Before(claimedAt.Add(coordinatorTTL - minOrderTime))
+}
 
 // MayUse reports whether a lease that was claimed or renewed by a call sent at claimedAt is still valid.
 func MayUse(now, claimedAt time.Time) bool {
