--- a/soak/seeds_test.go
+++ b/soak/seeds_test.go
@@ -40,7 +40,7 @@
 }
 
 // TestKillOfAllWithAnOrderUnderWayRecoversInTime guards against a group that gets no primary for 15 s: all VMs were killed while the platform held an
-// order of one of them, and the others wait until it cannot be under way any more.
+// order of one of them, and waited until it could not be under way any more.
 func TestKillOfAllWithAnOrderUnderWayRecoversInTime(t *testing.T) {
 	requireKeptWithOrderFaults(t, 733)
 }
@@ -51,6 +51,12 @@
 	requireKeptWithOrderFaults(t, 2)
 }
 
+// TestOrderSettledByAnotherOneComesUnderNoOlderToken guards against an order that is taken after one of the next holder: its target led already, by an
+// earlier order, so that it counted as carried out while the platform held it.
+func TestOrderSettledByAnotherOneComesUnderNoOlderToken(t *testing.T) {
+	requireKeptWithOrderFaults(t, 7)
+}
+
 // requireKeptWithOrderFaults runs a seed with faults of the promotion service and requires that it violates nothing.
 func requireKeptWithOrderFaults(t *testing.T, seed uint64) {
 	t.Helper()
