Failover and rates: what a rolling update from an older program needs

An order without a name is now taken over always, settled by its time only, and awaited 2.2 s longer.

A late report of demand by an older process of a VM made the present one count as the former, and none of its reports counted for up to 30 s. Processes have growing numbers now, and a report of an earlier one counts only if nothing newer came in the 2 s before (a clock that was set back).

--- a/coord/inherit.go
+++ b/coord/inherit.go
@@ -16,17 +16,22 @@
 
 // takeOverOrders takes over the orders in a row of this VM that this process has not written, as far as it knows: it was written by the process before,
 // or the answer to this process's write was lost. The orders may be under way; those that are known to be settled are left out. The caller holds the
-// lock, and settles the orders by settleTakenOver after a successful write of the row, or drops them.
+// lock, and settles the orders by settleTakenOver after a successful write of the row, or drops them. An order without a name is of an older program, and
+// what its target shows does not settle it.
 func (l *coordinatorLease) takeOverOrders(ctx context.Context, now time.Time, row state.CoordinatorLease) []recordedOrder {
 	if row.Version == l.settledVersion {
 		return nil
 	}
 	orders := make([]recordedOrder, 0, len(row.Orders))
 	for _, order := range row.Orders {
-		if l.settled[order.ID] || l.isKept(order.ID) {
+		if order.ID != "" && (l.settled[order.ID] || l.isKept(order.ID)) {
 			continue
 		}
-		orders = append(orders, l.keepOrder(ctx, now, order, l.unchangedSince.Add(-order.Age)))
+		recordedAt := l.unchangedSince.Add(-ageOf(order))
+		if order.ID == "" {
+			order.ID, order.Repeated = state.NewOrderID(), true
+		}
+		orders = append(orders, l.keepOrder(ctx, now, order, recordedAt))
 	}
 	return orders
 }
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -146,7 +146,15 @@
 	if len(orders) == 0 {
 		return 0
 	}
-	return slices.MinFunc(orders, func(a, b state.SentOrder) int { return cmp.Compare(a.Age, b.Age) }).Age
+	return ageOf(slices.MinFunc(orders, func(a, b state.SentOrder) int { return cmp.Compare(ageOf(a), ageOf(b)) }))
+}
+
+// ageOf returns the age of an order, as if it was recorded later if an older program may send it later.
+func ageOf(order state.SentOrder) time.Duration {
+	if order.ID == "" {
+		return -elect.OlderSendDelay
+	}
+	return order.Age
 }
 
 // isPending reports whether an order of this process for a group may be under way.
@@ -231,12 +239,12 @@
 }
 
 // carriedOut reports whether the instances show that every order was carried out. A repeated order may be under way although one was carried
-// out, and the end of a pause does not show which order ended it.
+// out, and the end of a pause does not show which order ended it. A program that gave orders no names did not ask whether their targets led already.
 func (s *Supervisor) carriedOut(orders []state.SentOrder) bool {
 	groups := map[model.GroupName]bool{}
 	for _, order := range orders {
 		target, registered := s.config.Cache.Snapshot().Instances[order.Target]
-		if order.Kind != state.OrderPromote || order.Repeated || groups[order.Group] || !registered {
+		if order.ID == "" || order.Kind != state.OrderPromote || order.Repeated || groups[order.Group] || !registered {
 			return false
 		}
 		groups[order.Group] = true
--- a/elect/lease.go
+++ b/elect/lease.go
@@ -14,6 +14,8 @@
 	// OrderLifetime is how long after its sending an order that was not answered may still be carried out: it may lie in the queues of both
 	// kernels and of the platform.
 	OrderLifetime = 10 * time.Second
+	// OlderSendDelay is how much later than orderSendTime a program that gave orders no names may send one.
+	OlderSendDelay = coordinatorTTL - minOrderTime - orderSendTime
 	// pendingOrderDelay is how long a lease with an order that may be under way must be unchanged before another VM claims it: the row changes with
 	// each order, and the last one is sent within orderSendTime of that.
 	pendingOrderDelay = orderSendTime + OrderLifetime
@@ -28,7 +30,8 @@
 	// OrderPending reports that the holder recorded an order that may be under way. Neither the end of its process nor that of its lease takes
 	// back what has left the process.
 	OrderPending bool
-	// PendingAge is how long before the row's last change the last of these orders was recorded at least.
+	// PendingAge is how long before the row's last change the last of these orders was recorded at least. It is negative for one that may be sent later
+	// than orderSendTime after its record.
 	PendingAge time.Duration
 	// UnchangedSince is the instant since which the row of the lease has been observed unchanged.
 	UnchangedSince time.Time
--- a/share/history.go
+++ b/share/history.go
@@ -17,8 +17,6 @@
 	peerHistory struct {
 		vm      model.VMID
 		reports history
-		// former is the process of the VM that reported before the present one, or 0.
-		former uint64
 	}
 
 	// history holds the latest reports of a VM, oldest first.
@@ -35,16 +33,17 @@
 
 // add records a report of the VM, unless it comes after a newer one: datagrams may overtake each other.
 func (p *peerHistory) add(t timedReport) {
-	if len(p.reports) > 0 {
-		last := p.reports[len(p.reports)-1].report
-		switch {
-		case t.report.Process == last.Process && t.report.Number < last.Number, t.report.Process != 0 && t.report.Process == p.former:
-			return
-		case t.report.Process != last.Process:
-			p.former = last.Process
-		}
+	if len(p.reports) == 0 || !t.isOvertaken(p.reports[len(p.reports)-1]) {
+		p.reports = p.reports.add(t)
+	}
+}
+
+// isOvertaken reports whether a report is older than the one that came last. Processes of a VM have growing numbers, unless its clock was set back.
+func (t timedReport) isOvertaken(last timedReport) bool {
+	if t.report.Process == last.report.Process {
+		return t.report.Number < last.report.Number
 	}
-	p.reports = p.reports.add(t)
+	return t.report.Process < last.report.Process && t.at.Sub(last.at) < maxOvertakingTime
 }
 
 func (h history) add(t timedReport) history {
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -1,7 +1,6 @@
 package share
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +10,8 @@
 )
 
 const (
+	// maxOvertakingTime bounds how much later than a newer report an older one of an earlier process may come.
+	maxOvertakingTime = 2 * time.Second
 	// reportTTL bounds how long the last report of another VM counts; a failure domain that is partitioned continues to use its share of
 	// the rate meanwhile.
 	reportTTL = 30 * time.Second
@@ -37,7 +38,8 @@
 		VM model.VMID
 		// Domain is the failure domain of the VM; if it is empty, the VM counts as one of its own.
 		Domain model.Domain `json:",omitempty"`
-		// Process names the process that reports, and Number the reports of it in their order; both are 0 if it told none.
+		// Process names the process that reports, with a number that grows from one to the next, and Number the reports of it in their order; both are 0
+		// if it told none.
 		Process uint64 `json:",omitempty"`
 		Number  uint64 `json:",omitempty"`
 		Demand  map[model.TeamName]float64
@@ -110,7 +112,7 @@
 
 // New returns a limiter whose buckets start to fill no earlier than now, so that a restart grants nothing twice.
 func New(now time.Time, config Config) *Limiter {
-	return &Limiter{config: config, started: now, process: rand.Uint64(), teams: map[model.TeamName]*team{}}
+	return &Limiter{config: config, started: now, process: uint64(now.UnixNano()), teams: map[model.TeamName]*team{}}
 }
 
 // Admit spends a token of a team, or returns when the next one is available. A bucket that this VM did not have before begins as start says.
--- a/state/rows.go
+++ b/state/rows.go
@@ -66,7 +66,7 @@
 
 	// SentOrder is an order that takes effect whenever it arrives, whatever has happened since it was sent.
 	SentOrder struct {
-		// ID tells the order from all others.
+		// ID tells the order from all others; orders of older programs have none.
 		ID    OrderID `json:",omitempty"`
 		Group model.GroupName
 		Kind  OrderKind
