Soak: what instances made of the operations of a team's worst window

Each arrival now has its statement, its instance and what that made of it; a violation counts the worst window by these, and each seed's line tells the size of the worst window, so that figures can be compared without a violation.

The check, its tolerance and its slack are as before.

--- a/commands/soak.go
+++ b/commands/soak.go
@@ -76,8 +76,8 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %d faults, %d acknowledged, %d refused, %d open, %d rejected, %d breaches, %d unanswered; %s\n",
-		seed, len(report.Faults), report.Acknowledged, report.Refused, report.Unknown, report.Rejected, report.Count(), report.Unanswered, report.Orders)
+	fmt.Printf("seed %d: %d faults, %d acknowledged, %d refused, %d open, %d rejected, %d breaches, %d unanswered; %s; %s\n",
+		seed, len(report.Faults), report.Acknowledged, report.Refused, report.Unknown, report.Rejected, report.Count(), report.Unanswered, report.Rate, report.Orders)
 	for _, d := range report.Orders.Details {
 		fmt.Println("  ", d)
 	}
--- a/soak/conn.go
+++ b/soak/conn.go
@@ -21,6 +21,9 @@
 	ran map[model.RequestID]bool
 	// operation is the operation of a caller whose transaction is open on the connection; it is empty outside a transaction.
 	operation string
+	// instance is the one at this end, and arrival the number of the last arrival of an operation; it is -1 once its answer is recorded.
+	instance model.InstanceName
+	arrival  int
 }
 
 // notRunFaults holds the faults that mean that a statement did not run.
@@ -29,9 +32,10 @@
 	model.FaultBadMessage: true,
 }
 
-func newCheckedConn(conn model.InstanceConn, h *history, team model.TeamName) *checkedConn {
+func newCheckedConn(conn model.InstanceConn, h *history, team model.TeamName, instance model.InstanceName) *checkedConn {
 	return &checkedConn{
 		InstanceConn: conn, history: h, team: team, values: map[string]string{}, prepared: map[string]string{}, ran: map[model.RequestID]bool{},
+		instance: instance, arrival: -1,
 	}
 }
 
@@ -47,15 +51,25 @@
 			p.connLost = p.connLost || err != nil
 		})
 		if err != nil {
+			c.recordAnswered(model.Reply{}, err)
 			c.checkRun(q, "")
 			return replies, err
 		}
+		c.recordAnswered(reply[0], nil)
 		c.settle(q, reply[0])
 		replies = append(replies, reply...)
 	}
 	return replies, nil
 }
 
+// recordAnswered records what the instance made of the statement that began an operation, if the last one did.
+func (c *checkedConn) recordAnswered(reply model.Reply, err error) {
+	if c.arrival >= 0 {
+		c.history.recordAnswered(c.team, c.arrival, reply, err)
+	}
+	c.arrival = -1
+}
+
 // PlanAnswer passes on how the instance sends the next answer.
 func (c *checkedConn) PlanAnswer() platform.AnswerPlan { return platform.PlanAnswer(c.InstanceConn) }
 
@@ -117,7 +131,7 @@
 		}
 	})
 	if c.operation == "" && words[0] != "ROLLBACK" {
-		c.history.recordOperation(c.team, sent)
+		c.arrival = c.history.recordOperation(c.team, arrival{at: time.Now(), operation: sent.operation, vm: sent.vm, instance: c.instance, verb: words[0]})
 	}
 	if c.operation != "" && c.operation != sent.operation {
 		c.history.addViolation("pinned: %s of %s ran inside the transaction of %s", q.ID, sent.operation, c.operation)
--- a/soak/conn_test.go
+++ b/soak/conn_test.go
@@ -11,14 +11,15 @@
 	"github.com/crocusshore/crocusshore/stand"
 )
 
-// answeringConn answers each statement with the fault under its text, or with success.
+// answeringConn answers each statement with the fault under its text, or with success; it fails with err if that is set.
 type answeringConn struct {
 	model.InstanceConn
 	faults map[string]model.Fault
+	err    error
 }
 
 func (c answeringConn) Exchange(_ time.Time, queries ...model.Query) ([]model.Reply, error) {
-	return []model.Reply{{Fault: c.faults[queries[0].Text], State: model.TxNone}}, nil
+	return []model.Reply{{Fault: c.faults[queries[0].Text], State: model.TxNone}}, c.err
 }
 
 func (c answeringConn) PlanAnswer() platform.AnswerPlan { return platform.AnswerPlan{Cut: true} }
@@ -63,7 +64,7 @@
 			h.recordSent("r", sentStatement{team: "t", text: "READ a"})
 			h.recordSent("v", sentStatement{team: "t", text: "READ a", values: map[string]string{"z": " \n1 "}})
 			h.recordSent("e", sentStatement{team: "t", text: "EXEC s1 a \n b ", prepared: "WRITE q\n2 "})
-			conn := newCheckedConn(answeringConn{faults: c.faults}, h, "t")
+			conn := newCheckedConn(answeringConn{faults: c.faults}, h, "t", "i")
 			for _, q := range c.queries {
 				_, err := conn.Exchange(time.Time{}, q)
 				require.NoError(t, err)
@@ -78,7 +79,7 @@
 }
 
 func TestCheckedConnectionPassesOnHowAnswersAreSent(t *testing.T) {
-	conn := newCheckedConn(answeringConn{}, newHistory(), "t")
+	conn := newCheckedConn(answeringConn{}, newHistory(), "t", "i")
 	require.Equal(t, platform.AnswerPlan{Cut: true}, platform.PlanAnswer(conn))
 }
 
--- a/soak/history.go
+++ b/soak/history.go
@@ -55,7 +55,9 @@
 		// recent holds the newest items of each group.
 		recent map[model.GroupName][]string
 		// arrivals holds when the operations of each team reached an instance.
-		arrivals   map[model.TeamName][]arrival
+		arrivals map[model.TeamName][]arrival
+		// rate describes the worst window of the team whose rate was checked last.
+		rate       string
 		violations []string
 		// kinds counts the violations by the names of their checks, also those beyond maxViolations.
 		kinds map[string]int
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -93,7 +93,7 @@
 	h := newHistory()
 	h.recordSent("b", sentStatement{team: "t", operation: "o1", text: "BEGIN"})
 	h.recordSent("r", sentStatement{team: "t", operation: "o2", text: "READ a"})
-	conn := newCheckedConn(nil, h, "t")
+	conn := newCheckedConn(nil, h, "t", "i")
 	conn.check(model.Query{ID: "b", Text: "BEGIN"})
 	require.Empty(t, h.violations)
 	conn.check(model.Query{ID: "r", Text: "READ a"})
--- a/soak/run.go
+++ b/soak/run.go
@@ -40,7 +40,9 @@
 	Rejected int
 	// Unanswered counts the violations of the check of answers, also those beyond maxViolations.
 	Unanswered int
-	Orders     OrderCounts
+	// Rate describes the window with the most operations of the team that sends more than its rate.
+	Rate   string
+	Orders OrderCounts
 }
 
 // Run runs one seed: it starts the VMs, runs callers and injects faults, awaits the recovery, and checks the invariants. An error means
@@ -254,7 +256,7 @@
 	r := Report{
 		Violations: s.history.violations, Kinds: maps.Clone(s.history.kinds), Acknowledged: s.history.outcomes[outcomeAcked],
 		Refused: s.history.outcomes[outcomeRefused], Unknown: s.history.outcomes[outcomeUnknown], Rejected: s.history.rejected,
-		Unanswered: s.unanswered, Orders: orders,
+		Unanswered: s.unanswered, Rate: s.history.rate, Orders: orders,
 	}
 	for _, f := range faults {
 		r.Faults = append(r.Faults, fmt.Sprintf("%6.2f s to %6.2f s  %s", f.at.Seconds(), (f.at+f.length).Seconds(), f.name))
--- a/soak/site.go
+++ b/soak/site.go
@@ -174,7 +174,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return newCheckedConn(instanceConn, s.history, hello.Team), nil
+				return newCheckedConn(instanceConn, s.history, hello.Team, i.Name), nil
 			})
 			s.config.Log.Debug("connection ended", "instance", i.Name, "error", err)
 		}()
