--- a/soak/history.go
+++ b/soak/history.go
@@ -58,7 +58,9 @@
 		groups map[string]model.GroupName
 		acked  map[model.GroupName][]ackedWrite
 		// arrivals holds when the operations of each team reached an instance.
-		arrivals   map[model.TeamName][]arrival
+		arrivals map[model.TeamName][]arrival
+		// rate describes the worst window of the team whose rate was checked last.
+		rate       string
 		violations []string
 		// kinds counts the violations by the names of their checks, also those beyond maxViolations.
 		kinds map[string]int
