--- a/serve/lagging_test.go
+++ b/serve/lagging_test.go
@@ -66,7 +66,7 @@
 	name   model.InstanceName
 }
 
-func (c *replicaConn) Run(_ time.Time, _ map[string]string, q model.Query) (model.Reply, error) {
+func (c *replicaConn) Run(_ time.Time, q model.Query) (model.Reply, error) {
 	c.source.mu.Lock()
 	defer c.source.mu.Unlock()
 	c.source.arrived[c.name]++
