SIGHUP in the start of a process: what works before the program, and what the soak showed

Corrects: of the 28 system calls before SIGHUP is ignored, 27 are of the dynamic loader and one of the C library's own initialization (trace of a start), not all of the loader.

--- a/daemon/reload_linux_test.go
+++ b/daemon/reload_linux_test.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// TestReloadRightAfterExec shows the limit of what the program can do: until its first instruction, only the kernel and the dynamic loader work, and
-// SIGHUP ends the process, unless whatever started it ignored the signal. docs/OPERATIONS.md tells operators.
+// TestReloadRightAfterExec shows the limit of what the program can do: until its first instruction, only the kernel, the dynamic loader and the C
+// library work, and SIGHUP ends the process, unless whatever started it ignored the signal. docs/OPERATIONS.md tells operators.
 func TestReloadRightAfterExec(t *testing.T) {
 	program := build(t)
 	t.Run("by default", func(t *testing.T) {
