--- a/soak/ordercost.go
+++ b/soak/ordercost.go
@@ -136,20 +136,24 @@
 
 func seconds(d time.Duration) string { return fmt.Sprintf("%.2f s", d.Seconds()) }
 
-// longestGap returns the longest time between two acknowledged writes of a group in a row in which a group waited for an unanswered order. The
-// callers ended at an instant.
-func (h *history) longestGap(group model.GroupName, waits []orderWait, end time.Time) time.Duration {
+// longestGaps returns the longest time between two acknowledged writes of a group in a row, and the longest in which a group waited for an
+// unanswered order. The callers ended at an instant.
+func (h *history) longestGaps(group model.GroupName, waits []orderWait, end time.Time) (longest, waiting time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	longest, last := time.Duration(0), time.Time{}
+	last := end
+	if len(h.acked[group]) > 0 {
+		last = h.acked[group][0].at
+	}
 	for _, a := range append(slices.Clone(h.acked[group]), ackedWrite{at: end}) {
 		waited := func(w orderWait) bool { return last.Before(w.after) && a.at.After(w.order.sentAt) }
-		if !last.IsZero() && slices.ContainsFunc(waits, waited) {
-			longest = max(longest, a.at.Sub(last))
+		longest = max(longest, a.at.Sub(last))
+		if slices.ContainsFunc(waits, waited) {
+			waiting = max(waiting, a.at.Sub(last))
 		}
 		last = a.at
 	}
-	return longest
+	return longest, waiting
 }
 
 // countWaits adds the waits around unanswered orders to the counts: of several orders in one wait, that of the first.
@@ -166,8 +170,8 @@
 	}
 	slices.Sort(counts.Waits)
 	for g := range s.clusters {
-		if gap := s.history.longestGap(groupName(g), waits, s.callersEndedAt); gap > 0 {
-			counts.Details = append(counts.Details, fmt.Sprintf("%s: longest time between writes during such waits %s", groupName(g), seconds(gap)))
-		}
+		longest, waiting := s.history.longestGaps(groupName(g), waits, s.callersEndedAt)
+		counts.Details = append(counts.Details, fmt.Sprintf("%s: longest time between writes %s, during waits for unanswered orders %s", groupName(g),
+			seconds(longest), seconds(waiting)))
 	}
 }
