--- a/place/place_test.go
+++ b/place/place_test.go
@@ -133,40 +133,6 @@
 	})[0].Instance.Name)
 }
 
-// TestOneStatementAsksWhetherAReplicaStillLags guards against reads that all ask a lagging replica once it may be asked again.
-func TestOneStatementAsksWhetherAReplicaStillLags(t *testing.T) {
-	tracker := NewTracker()
-	start := time.Unix(100, 0)
-	after := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	mark := func(position int) model.Mark { return model.Mark{Term: 1, Position: model.Position(position)} }
-	take := func(ms, position int) bool { return tracker.TakeQuestion(after(ms), "r", mark(position)) }
-	for range 2 {
-		require.True(t, take(0, 20), "it is not known to lag")
-	}
-	tracker.RecordLagging(after(0), "r", mark(20))
-	require.True(t, take(1, 20), "it may have caught up")
-	require.False(t, take(2, 20), "the first question is not answered yet")
-	require.True(t, take(2, 19), "an earlier position may be there")
-	tracker.RecordLagging(after(1), "r", mark(20))
-	tracker.RecordLagging(after(80), "r", mark(20))
-	tracker.RecordLagging(after(79), "r", mark(20))
-	require.False(t, take(159, 20))
-	require.True(t, take(160, 20))
-	require.False(t, take(239, 99))
-	require.True(t, take(240, 99), "the question was not answered")
-	tracker.RecordMark("r", mark(99))
-	for range 2 {
-		require.True(t, take(240, 99), "it has caught up")
-	}
-	for ms := range 1000 {
-		if take(1000+ms, 200) {
-			tracker.RecordLagging(after(1000+ms), "r", mark(200))
-		}
-	}
-	require.False(t, take(2000, 200))
-	require.True(t, take(2000+int(AttemptInterval.Milliseconds()), 200), "a long lag is asked about every AttemptInterval")
-}
-
 // TestFailingInstanceGetsOneAttemptPerInterval guards against waits for an unreachable instance: each statement for it waited for its
 // own time-out and held a connection meanwhile.
 func TestFailingInstanceGetsOneAttemptPerInterval(t *testing.T) {
--- a/place/tracker.go
+++ b/place/tracker.go
@@ -21,8 +21,6 @@
 	// AttemptInterval is the pause between attempts at such an instance. It is so short that an attempt detects the recovery of the instance
 	// long before callers give up.
 	AttemptInterval = 200 * time.Millisecond
-	// minQuestionPause is the time in which a question whether an instance still lags is usually answered; no other statement asks meanwhile.
-	minQuestionPause = 5 * time.Millisecond
 )
 
 type (
@@ -56,8 +54,6 @@
 		// if the instance is not known to lack any.
 		lacks                   model.Mark
 		laggingSince, laggingAt time.Time
-		// askedAt is when a statement was last let through to find out whether the instance still lags.
-		askedAt time.Time
 	}
 
 	// Latency is how long a statement of a route took.
@@ -154,14 +150,12 @@
 	defer t.mu.Unlock()
 	s := t.stats(instance)
 	if s.lacks == (model.Mark{}) {
-		s.lacks, s.laggingSince, s.laggingAt = mark, now, now
+		s.lacks, s.laggingSince = mark, now
 	}
 	if mark.Before(s.lacks) {
 		s.lacks = mark
 	}
-	if now.After(s.laggingAt) {
-		s.laggingAt = now
-	}
+	s.laggingAt = now
 }
 
 // RecordMark records that the log of an instance reaches a position.
@@ -173,21 +167,6 @@
 	}
 }
 
-// TakeQuestion reports whether a statement that requires a log position may be sent to an instance. If the instance was found to lack the position, one
-// statement may find out whether it still does; the others are let through once an answer shows that it does not, or with the next question.
-func (t *Tracker) TakeQuestion(now time.Time, instance model.InstanceName, since model.Mark) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.stats(instance)
-	if s.isLagging(now, since) {
-		return false
-	}
-	if s.lackedUpTo(since) {
-		s.askedAt = now
-	}
-	return true
-}
-
 // RecordFailure records that an instance could not be reached or did not answer.
 func (t *Tracker) RecordFailure(now time.Time, instance model.InstanceName) {
 	t.mu.Lock()
@@ -248,13 +227,10 @@
 // isLagging reports whether the instance is expected to lack a log position. One that was found to lag is asked again after as long again as it has
 // lagged, and after AttemptInterval at the latest.
 func (s *instanceStats) isLagging(now time.Time, since model.Mark) bool {
-	pause := min(s.laggingAt.Sub(s.laggingSince), AttemptInterval)
-	return s.lackedUpTo(since) && (now.Sub(s.laggingAt) < pause || now.Sub(s.askedAt) < max(pause, minQuestionPause))
-}
-
-// lackedUpTo reports whether the instance was found to lack a log position, and has not been seen to reach it since.
-func (s *instanceStats) lackedUpTo(since model.Mark) bool {
-	return s.lacks != (model.Mark{}) && !since.Before(s.lacks)
+	if s.lacks == (model.Mark{}) || since.Before(s.lacks) {
+		return false
+	}
+	return now.Sub(s.laggingAt) < min(s.laggingAt.Sub(s.laggingSince), AttemptInterval)
 }
 
 func (t *Tracker) stats(instance model.InstanceName) *instanceStats {
--- a/serve/await.go
+++ b/serve/await.go
@@ -168,18 +168,13 @@
 func (c *callerSession) pause(op operation, after time.Duration) bool {
 	now := clock.Now()
 	after = op.retryAfter(now, after)
-	if !c.mayPause(now, op, after) {
+	if !wait.Decide(now, wait.At(now.Add(after)), c.left(op)).Wait {
 		return false
 	}
 	time.Sleep(after)
 	return true
 }
 
-// mayPause reports whether the operation still has time after a pause.
-func (c *callerSession) mayPause(now time.Time, op operation, after time.Duration) bool {
-	return wait.Decide(now, wait.At(now.Add(after)), c.left(op)).Wait
-}
-
 // retryAfter returns the time after which the operation may succeed, if it is known, and otherwise as long again as the operation has tried.
 func (o operation) retryAfter(now time.Time, known time.Duration) time.Duration {
 	if known > 0 {
--- a/serve/lagging_test.go
+++ b/serve/lagging_test.go
@@ -13,7 +13,6 @@
 	"github.com/crocusshore/crocusshore/conns"
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/place"
-	"github.com/crocusshore/crocusshore/remote"
 	"github.com/crocusshore/crocusshore/sample"
 )
 
@@ -160,17 +159,3 @@
 		})
 	}
 }
-
-// TestOwnerLearnsOfALagFromStatementsOfOtherVMs guards against VMs that each find out for themselves what a replica lacks, although the statements pass
-// through the same VM.
-func TestOwnerLearnsOfALagFromStatementsOfOtherVMs(t *testing.T) {
-	s := newReplicaSessions(1, newReplicaSource(), time.Second)[0].server
-	now, since := clock.Now(), model.Mark{Term: 1, Position: 9}
-	request := remote.Request{Query: model.Query{Since: since}}
-	lagging := model.Reply{Fault: model.FaultLagging, Mark: model.Mark{Term: 1, Position: 1}}
-	s.RecordAnswer(now, model.Instance{Name: "a", Group: "g"}, request, lagging)
-	s.RecordAnswer(now.Add(50*time.Millisecond), model.Instance{Name: "a", Group: "g"}, request, lagging)
-	require.False(t, s.config.Tracker.TakeQuestion(now.Add(99*time.Millisecond), "a", since))
-	s.RecordAnswer(now.Add(60*time.Millisecond), model.Instance{Name: "a", Group: "g"}, request, model.Reply{Mark: since})
-	require.True(t, s.config.Tracker.TakeQuestion(now.Add(99*time.Millisecond), "a", since))
-}
--- a/serve/pick.go
+++ b/serve/pick.go
@@ -23,9 +23,7 @@
 	instance model.Instance
 	primary  bool
 	since    model.Mark
-	// lagging is set if the instance is expected to lack that position.
-	lagging bool
-	lease   state.Lease
+	lease    state.Lease
 }
 
 // rankInstances returns the instances that may serve a read now, best first.
@@ -51,7 +49,7 @@
 	}
 	targets := make([]target, 0, len(candidates))
 	for _, c := range place.Rank(candidates) {
-		targets = append(targets, target{instance: c.Instance, primary: c.Primary, since: c.Since, lagging: c.Lagging, lease: lease})
+		targets = append(targets, target{instance: c.Instance, primary: c.Primary, since: c.Since, lease: lease})
 	}
 	return targets
 }
--- a/serve/read.go
+++ b/serve/read.go
@@ -35,11 +35,12 @@
 	round := newRound()
 	attempts := 0
 	for now := op.startedAt; now.Before(c.deadline(op)); now = clock.Now() {
-		to, ok := c.nextUntried(now, op, round)
+		to, ok := c.nextUntried(now, op, round.tried)
 		if !ok {
-			if !c.pauseRound(op, round, false) {
+			if !c.pause(op, c.roundRetryAfter(op, round, false)) {
 				break
 			}
+			round = newRound()
 			continue
 		}
 		attempts++
@@ -61,16 +62,11 @@
 	return reply
 }
 
-// nextUntried returns the best instance for a read that the round has not tried. It passes over those that are known to lack what the read requires,
-// unless it is time to ask them again; one read does so for all.
-func (c *callerSession) nextUntried(now time.Time, op operation, r *round) (target, bool) {
+// nextUntried returns the best instance for a read that is not in tried.
+func (c *callerSession) nextUntried(now time.Time, op operation, tried map[model.InstanceName]bool) (target, bool) {
 	for _, to := range c.server.rankInstances(now, op, c.session.LastCommit(op.route.Group)) {
-		switch {
-		case r.tried[to.instance.Name]:
-		case c.server.config.Tracker.TakeQuestion(now, to.instance.Name, to.since):
+		if !tried[to.instance.Name] {
 			return to, true
-		default:
-			r.passOver(to.instance.Name)
 		}
 	}
 	return target{}, false
