--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -30,7 +30,7 @@
 	"memory": memoryCase,
 	"era":    eraCase,
 	"again":  againCase,
-	"key":    keyCase,
+	"stuck":  stuckCase,
 }
 
 func main() { os.Exit(run()) }
