A handover that was interrupted after DEMOTE is finished by the next run

Callers of a service got BUSY for good: a replica was lost for good, the primary was to be replaced, and the process that replaced it was killed after its DEMOTE.

Cause: that the primary was demoted, and that its log holds everything, was known only to the run that did it. The next run asked the old primary whether it leads, which a demoted one does not, and compared the replicas as if it were lost. With a recorded replica gone they never show that they have everything. A run whose DEMOTE applied without an answer ended in the same state.

A demoted primary now counts as evidence, and its end is added to the announcement while leases last, so that it may leave as well.

--- a/coord/announce.go
+++ b/coord/announce.go
@@ -16,7 +16,7 @@
 	next := r.record
 	next.Next = &state.Intent{Term: r.record.Term + 1, Holder: r.s.config.Self, Fence: r.lease.Fence}
 	if r.record.Next != nil {
-		next.Next.Term = r.record.Next.Term
+		next.Next.Term, next.Next.Final = r.record.Next.Term, r.record.Next.Final
 	}
 	r.newIntent = r.record.Next == nil
 	version, err := r.writeRecord(ctx, next)
--- a/coord/compare.go
+++ b/coord/compare.go
@@ -130,22 +130,33 @@
 	for _, release := range r.releases {
 		evidence.Releases = append(evidence.Releases, release)
 	}
+	if r.record.Next.Final != nil {
+		evidence.Final = *r.record.Next.Final
+	}
 	chosen, ok := elect.Choose(evidence)
+	if demoted, found := r.findDemoted(!ok); found {
+		evidence.Replicas, evidence.Final = append(slices.Clone(r.replicas), demoted), demoted.Received
+		chosen, ok = elect.Choose(evidence)
+		if ok && chosen.Instance.Name == r.old.Name {
+			r.handedOver, r.final = true, evidence.Final
+		}
+	}
+	r.compared = evidence.Replicas
 	r.logComparison(evidence, chosen.Instance, ok)
 	return chosen.Instance, ok
 }
 
 // logComparison logs a comparison, unless it is like the one before.
 func (r *replacement) logComparison(evidence elect.Evidence, chosen model.Instance, safe bool) {
-	replicas := describe(r.replicas)
-	described := fmt.Sprint(safe, replicas, len(r.releases), evidence.AllReleased, evidence.StartsSettled)
+	replicas := describe(evidence.Replicas)
+	described := fmt.Sprint(safe, replicas, len(r.releases), evidence.AllReleased, evidence.StartsSettled, evidence.Final)
 	if described == r.lastComparison {
 		return
 	}
 	r.lastComparison = described
 	r.s.config.Log.Info("replicas compared", "group", r.group, "chosen", chosen.Name, "safe", safe, "replicas", replicas,
 		"recorded", names(r.record.Replicas), "released", len(r.releases), "all-released", evidence.AllReleased,
-		"starts-settled", evidence.StartsSettled)
+		"starts-settled", evidence.StartsSettled, "final", evidence.Final)
 }
 
 // errPromoted ends the search for a target, since an earlier order has promoted an instance.
--- a/coord/effect_test.go
+++ b/coord/effect_test.go
@@ -93,7 +93,10 @@
 	holder.cache.ApplyInstances(1, true, []model.Instance{{Name: "i-1", Group: "g"}, {Name: "i-2", Group: "g"}, {Name: "i-3", Group: "g"}}, nil, clock.Now())
 	promotions := &silentPromotions{}
 	supervisor := &Supervisor{
-		config: Config{Self: "a", Cache: holder.cache, Dialer: dialer, Promotions: promotions, Log: log.New(io.Discard)}, lease: holder.coordinatorLease,
+		config: Config{
+			Self: "a", Cache: holder.cache, Rows: holder.coordinatorLease.rows, Dialer: dialer, Promotions: promotions, Log: log.New(io.Discard),
+		},
+		lease: holder.coordinatorLease,
 	}
 	record := state.PrimaryRecord{Group: "g", Term: 1, Primary: "i-1", Next: &state.Intent{Term: 2}}
 	return &replacement{
--- a/coord/handover.go
+++ b/coord/handover.go
@@ -73,9 +73,43 @@
 	}
 	r.handedOver = err == nil && !state.Received.Before(r.final)
 	r.final = state.Received
+	if r.handedOver && (!r.allReleased() || r.record.Next.Final != nil) {
+		return r.recordFinal(ctx)
+	}
+	return nil
+}
+
+// recordFinal adds the end of the demoted primary's log to the announcement, before the wait for the leases: the old primary may leave for good, and the
+// replicas alone need not show that they have everything.
+func (r *replacement) recordFinal(ctx context.Context) error {
+	next := r.record
+	intent := *next.Next
+	intent.Final = &r.final
+	next.Next = &intent
+	version, err := r.writeRecord(ctx, next)
+	r.s.config.Log.Info("demotion recorded", "group", r.group, "instance", r.old.Name, "final", r.final, "row-version", version, "error", err)
+	if err != nil {
+		return errors.Wrap(err, "recording the demotion")
+	}
+	next.Version = version
+	r.record = next
 	return nil
 }
 
+// findDemoted returns the old primary if it was demoted and still has its log. It is asked only if needed, and only if this run or an earlier one may have
+// demoted it, since one that failed would delay the comparison. One that has started again holds nothing.
+func (r *replacement) findDemoted(needed bool) (elect.Replica, bool) {
+	mayBeDemoted := !r.newIntent || r.demoteOrdered || r.old.Role == model.RoleReplica
+	if !needed || !r.oldKnown || !mayBeDemoted {
+		return elect.Replica{}, false
+	}
+	reported, err := r.s.status(r.old)
+	if err != nil || reported.Role != model.RoleReplica || reported.Term != r.record.Term || reported.Received.Position == 0 {
+		return elect.Replica{}, false
+	}
+	return replicaOf(r.old, reported, nil), true
+}
+
 // mayBeReplaced reports whether an instance may lead the announced term by an order of an earlier run. One that does not answer may: the old primary
 // goes on until it reaches the new one, and then drops what it has acknowledged.
 func (r *replacement) mayBeReplaced() bool {
@@ -137,6 +171,7 @@
 
 // demote ends writes on the old primary by making it a replica.
 func (r *replacement) demote() (model.InstanceState, error) {
+	r.demoteOrdered = true
 	state, err := r.s.callInstance(r.old, func(conn model.InstanceConn, deadline time.Time) (model.InstanceState, error) {
 		return conn.Demote(deadline, r.record.Next.Term)
 	})
--- a/coord/promote.go
+++ b/coord/promote.go
@@ -133,7 +133,7 @@
 	if !ok {
 		return model.Instance{}, false
 	}
-	return elect.FindEqual(r.replicas, furthest.Name, name)
+	return elect.FindEqual(r.compared, furthest.Name, name)
 }
 
 // renew renews the coordinator lease if too little time is left to send an order.
--- a/coord/replace.go
+++ b/coord/replace.go
@@ -69,13 +69,16 @@
 	// handedOver reports that the old primary was demoted by this run, and final is the end of its log as last observed.
 	handedOver bool
 	final      model.Mark
+	// demoteOrdered reports that this run has ordered DEMOTE, whether it was answered or not.
+	demoteOrdered bool
 	// replicas are the replicas as last observed, and pauseTriedAt is when the last attempt to pause them began.
 	replicas     []elect.Replica
 	pauseTriedAt time.Time
 	// keepTriedAt is when the run last checked whether the old primary can be kept.
 	keepTriedAt time.Time
-	// comparedAt is when the replicas were last compared, and lastComparison describes the result as it was logged.
+	// comparedAt is when the replicas were last compared, compared are those that were, and lastComparison describes the result as it was logged.
 	comparedAt     time.Time
+	compared       []elect.Replica
 	lastComparison string
 }
 
--- a/elect/choose.go
+++ b/elect/choose.go
@@ -44,6 +44,8 @@
 		// StartsSettled reports that every replica was registered with its present start when it was paused. Otherwise it may have started again,
 		// with an empty log, while the store still has the registration of its former start.
 		StartsSettled bool
+		// Final is the end of the old primary's log after it was demoted, or zero if that is not known. What it acknowledged is in its log.
+		Final model.Mark
 	}
 )
 
@@ -54,16 +56,22 @@
 // since it may just have started again, and also if the leases of VMs had to run out, since that takes no less time. Otherwise every VM must
 // have confirmed and know what was acknowledged to it, with no statement unanswered, at least one must have observed an acknowledged position, and
 // the furthest log must reach the highest such position.
+//
+// If the old primary was demoted, its log has every acknowledged commit, so one that ends where it ends has them, too. A log that goes further, or a commit
+// observed beyond it, shows that the old primary has started again or led again since.
 func Choose(e Evidence) (Replica, bool) {
 	best, found := furthest(e.Replicas)
 	if !found {
 		return Replica{}, false
 	}
+	acked, complete := highestAcked(e.Releases)
+	if e.Final != (model.Mark{}) && best.Received == e.Final && !e.Final.Before(acked) {
+		return best, true
+	}
 	startsKnown := e.StartsSettled || (e.AllReleased && !anyEmpty(e.Replicas))
 	if startsKnown && AllPaused(e.Replicas) && CompareReplicas(e.Recorded, instances(e.Replicas)).Complete() {
 		return best, true
 	}
-	acked, complete := highestAcked(e.Releases)
 	if !e.AllReleased || !complete || acked == (model.Mark{}) || best.Received.Before(acked) {
 		return Replica{}, false
 	}
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -144,6 +144,13 @@
 		},
 		{"a replica was removed recently and a VM did not confirm", Evidence{Recorded: recorded("a", "c"), Replicas: []Replica{replica("a", true, 73)}, Releases: []Release{{Known: mark(1, 73), Complete: true}}}, ""},
 		{"a replica was removed recently and nothing is missing", Evidence{Recorded: recorded("a", "c"), Replicas: []Replica{replica("a", true, 73)}, AllReleased: true, Releases: []Release{{Known: mark(1, 73), Complete: true}}}, "a"},
+		{"one is gone, another has the whole log of the demoted primary", Evidence{Recorded: recorded("a", "b"), Replicas: []Replica{replica("a", true, 5)}, Final: mark(1, 5)}, "a"},
+		{"one is gone, the others lack a part of that log", Evidence{Recorded: recorded("a", "b"), Replicas: []Replica{replica("a", true, 4)}, Final: mark(1, 5)}, ""},
+		{
+			"the demoted primary led again and committed more",
+			Evidence{Recorded: recorded("a", "b"), Replicas: []Replica{replica("a", true, 5)}, Final: mark(1, 5), Releases: []Release{{Known: mark(1, 6)}}},
+			"",
+		},
 		{"none answers", Evidence{Recorded: recorded("a"), Replicas: []Replica{replica("a", false, 0)}}, ""},
 		{"none is there", Evidence{Recorded: recorded()}, ""},
 	} {
--- a/state/rows.go
+++ b/state/rows.go
@@ -46,6 +46,8 @@
 		Term   model.Term
 		Holder model.VMID
 		Fence  int64
+		// Final is the end of the old primary's log if it was demoted while leases on it had not ended; nil if that is not known.
+		Final *model.Mark `json:",omitempty"`
 	}
 
 	// CoordinatorLease names the VM that may order new primaries, under a fencing token that only grows.
