The positions of a new primary without a commit of its own are samples

Cause: reads go to replicas only with a sample of the primary's position. Positions in answers to statements counted only in the term of the lease, in which a new primary has none before its first commit. Status requests were refused as BUSY, so all reads went to the primary and its first commit found no slot.

Ruled out by a trial that asked all instances each second: replicas that are still paused, and commits that wait for a replica.

A position up to the term of the lease counts now. Why it is right: the position of the primary of a term under lease covers what was acknowledged before the statement was sent, whichever term the position is in; answers to status requests count so already.

--- a/serve/read.go
+++ b/serve/read.go
@@ -180,11 +180,11 @@
 }
 
 // addSample adds a sample: the log position in an answer of the primary of a term to a statement that was sent at sentAt. Status requests of other VMs
-// share it.
+// share it. Until a new primary has a commit of its own, its log ends in an earlier term.
 func (s *Server) addSample(sentAt time.Time, primary model.Instance, term model.Term, reply model.Reply) {
-	if reply.Mark.Term == term {
+	if reply.Mark.Term <= term {
 		s.config.Samples.Add(primary.Group, sample.Sample{At: sentAt, Mark: reply.Mark})
-		s.config.Statuses.RecordStatement(clock.Now(), sentAt, primary, reply.Mark)
+		s.config.Statuses.RecordStatement(clock.Now(), sentAt, primary, term, reply.Mark)
 	}
 }
 
--- a/status/board.go
+++ b/status/board.go
@@ -46,13 +46,13 @@
 
 // RecordStatement records what the answer of an instance to a statement shows: that it was the primary of a term and had a log position when the statement
 // was sent. The lease on the primary must have been valid then.
-func (b *Board) RecordStatement(now, sentAt time.Time, instance model.Instance, mark model.Mark) {
+func (b *Board) RecordStatement(now, sentAt time.Time, instance model.Instance, term model.Term, mark model.Mark) {
 	if b == nil {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := model.InstanceState{Role: model.RolePrimary, Term: mark.Term, Held: mark.Term, Received: mark}
+	state := model.InstanceState{Role: model.RolePrimary, Term: term, Held: term, Received: mark}
 	b.record(instance).update(Answer{State: state, At: sentAt, EndedAt: now}, true)
 }
 
--- a/status/board_test.go
+++ b/status/board_test.go
@@ -167,8 +167,8 @@
 func TestStatementsOfAPrimaryAnswerStatusRequests(t *testing.T) {
 	b, asked := newTestBoard(), 0
 	mark := model.Mark{Term: 3, Position: 9}
-	b.RecordStatement(at(30), at(10), instance, mark)
-	b.RecordStatement(at(40), at(5), instance, model.Mark{Term: 3, Position: 8})
+	b.RecordStatement(at(30), at(10), instance, mark.Term, mark)
+	b.RecordStatement(at(40), at(5), instance, 3, model.Mark{Term: 3, Position: 8})
 	answer := askNow(b, at(100), 100*time.Millisecond, 0, nil, &asked)
 	require.Zero(t, asked)
 	require.Equal(t, at(10), answer.At, "the position counts as of when the statement was sent")
@@ -181,7 +181,7 @@
 func TestNilBoardSharesNothing(t *testing.T) {
 	var b *Board
 	asked := 0
-	b.RecordStatement(at(0), at(0), instance, model.Mark{Term: 1, Position: 1})
+	b.RecordStatement(at(0), at(0), instance, 1, model.Mark{Term: 1, Position: 1})
 	for range 2 {
 		askNow(b, at(0), time.Second, 0, nil, &asked)
 	}
