A return of the store from an older copy does no harm

Cause: versions were compared as if they only grew, and what VMs had written was trusted to be the newest; nothing read Store-Era.

Versions and fencing tokens name the era now. A primary record of an earlier era gives no lease until a VM has asked all instances and written it again; VMs go on with what they knew until then.

--- a/commands/soak.go
+++ b/commands/soak.go
@@ -34,6 +34,7 @@
 			&cli.BoolFlag{Name: "slow-starts", Usage: "also instances that start again and are slow, or fail, for some seconds"},
 			&cli.BoolFlag{Name: "large-settings", Usage: "also settings of some hundred KiB that change while daemons are killed"},
 			&cli.BoolFlag{Name: "crowds", Usage: "also clients that send large, partial or many messages, slowly, or stop half-way"},
+			&cli.BoolFlag{Name: "restores", Usage: "also a store that comes back from copies some seconds old"},
 			&cli.BoolFlag{Name: "planned", Usage: "no faults, only planned work: restarts and changes of settings"},
 			&cli.IntFlag{Name: "together", Usage: "how many daemons restart at a time in planned work", Value: 1},
 			&cli.DurationFlag{Name: "grace", Usage: "the time between SIGTERM and SIGKILL", Value: 3 * time.Second},
@@ -75,7 +76,7 @@
 	report, err := soak.Run(ctx, soak.Config{
 		Program: c.String("program"), Dir: dir, Seed: seed, VMs: c.Int("vms"), Groups: c.Int("groups"), Sessions: c.Int("sessions"),
 		For: c.Duration("for"), OrderFaults: c.Bool("order-faults"), AnswerFaults: c.Bool("answer-faults"),
-		Evacuations: c.Bool("evacuations"), SlowStarts: c.Bool("slow-starts"), LargeSettings: c.Bool("large-settings"), Crowds: c.Bool("crowds"), PlannedOnly: c.Bool("planned"),
+		Evacuations: c.Bool("evacuations"), SlowStarts: c.Bool("slow-starts"), LargeSettings: c.Bool("large-settings"), Crowds: c.Bool("crowds"), Restores: c.Bool("restores"), PlannedOnly: c.Bool("planned"),
 		Together: c.Int("together"), Grace: c.Duration("grace"), Log: logger,
 	})
 	if err != nil {
--- a/coord/announce.go
+++ b/coord/announce.go
@@ -35,7 +35,7 @@
 // lease is as this VM wrote it. If the answer is lost or the store is unavailable, writeRecord reads the row back. It tries again until
 // the row shows the write or the context ends, and also if this VM has written the row of the lease meanwhile, for another group.
 func (r *replacement) writeRecord(ctx context.Context, next state.PrimaryRecord) (int64, error) {
-	next.Write = state.NewWriteID()
+	next.Era, next.Write = model.EraOf(r.record.Version), state.NewWriteID()
 	row, err := next.Row()
 	if err != nil {
 		return 0, err
--- a/coord/compare.go
+++ b/coord/compare.go
@@ -165,9 +165,12 @@
 // errSuperseded ends a run whose record was changed by another VM.
 var errSuperseded = errors.New("another VM continues the replacement")
 
-// superseded reports whether the record has changed since this run announced the replacement. The run may outlast its coordinator lease.
+// superseded reports whether the record has changed since this run announced the replacement, or the store may have forgotten the announcement. The run may
+// outlast its coordinator lease.
 func (r *replacement) superseded() bool {
-	return r.s.config.Cache.Snapshot().Primaries[r.group].Version > r.record.Version
+	snapshot := r.s.config.Cache.Snapshot()
+	_, unconfirmed := snapshot.Unconfirmed[r.group]
+	return unconfirmed || snapshot.Primaries[r.group].Version > r.record.Version
 }
 
 // callReplicas sends an order or a status request to all replicas in parallel and returns their answers. A replica that does not answer
--- a/coord/lease.go
+++ b/coord/lease.go
@@ -77,13 +77,9 @@
 		l.users++
 		return l.held, nil
 	}
-	wanted := elect.LeaseClaim{
-		Released: row.Released || row.Version == 0, HeldHere: own || inherited, HolderEnded: holderEnded(l.cache.Snapshot(), row),
-		OrderPending: len(row.Orders) > 0 && row.Version != l.settledVersion, PendingAge: leastAge(row.Orders),
-		UnchangedSince: l.unchangedSince,
-	}
+	wanted := l.claimOf(row, own || inherited)
 	if !elect.MayClaim(now, wanted) {
-		if wanted.OrderPending {
+		if wanted.OrderPending || wanted.FirstInEra {
 			return state.CoordinatorLease{}, errOrderPending
 		}
 		return state.CoordinatorLease{}, errLeaseHeld
@@ -103,18 +99,31 @@
 	return l.held, nil
 }
 
+// claimOf returns what decides on a claim of the lease whose row is as given; the caller holds the lock.
+func (l *coordinatorLease) claimOf(row state.CoordinatorLease, heldHere bool) elect.LeaseClaim {
+	era, eraSince := l.cache.Era()
+	return elect.LeaseClaim{
+		FirstInEra: state.EraOfFence(row.Fence) < era, EraSince: eraSince,
+		Released: row.Released || row.Version == 0, HeldHere: heldHere, HolderEnded: holderEnded(l.cache.Snapshot(), row),
+		OrderPending: len(row.Orders) > 0 && row.Version != l.settledVersion, PendingAge: leastAge(row.Orders),
+		UnchangedSince: l.unchangedSince,
+	}
+}
+
 // isOwn reports whether this process wrote the row and has not given the lease up, even if the answer to the write was lost.
 func (l *coordinatorLease) isOwn(row state.CoordinatorLease) bool {
 	return row.Fence > 0 && !row.Released && row.Holder == l.self && row.Boot == l.boot
 }
 
 // next returns the row of the next claim or renewal. The token stays the same as long as no other VM held the lease in between, so that an order of
-// this VM which is late does not come under an older token.
+// this VM which is late does not come under an older token. It is higher than all of earlier eras of the store, which may have forgotten them.
 func (l *coordinatorLease) next(now time.Time, row state.CoordinatorLease) state.CoordinatorLease {
 	next := state.CoordinatorLease{Holder: l.self, Boot: l.boot, Fence: row.Fence + 1, Version: row.Version, Orders: l.pending(now)}
 	if row.Holder == l.self && row.Fence > 0 && !row.Released {
 		next.Fence, next.Renewals = row.Fence, row.Renewals+1
 	}
+	era, _ := l.cache.Era()
+	next.Fence = max(next.Fence, state.LeastFence(era))
 	return next
 }
 
@@ -140,6 +149,9 @@
 	if err != nil {
 		return err
 	}
+	if state.EraOfFence(next.Fence) != model.EraOf(version) {
+		return errors.Wrap(errLeaseHeld, "the store came back from an older copy meanwhile")
+	}
 	next.Version = version
 	l.held, l.claimedAt = next, claimedAt
 	clear(l.settled)
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -241,6 +241,9 @@
 // carriedOut reports whether the instances show that every order was carried out. A repeated order may be under way although one was carried
 // out, and the end of a pause does not show which order ended it. A program that gave orders no names did not ask whether their targets led already.
 func (s *Supervisor) carriedOut(orders []state.SentOrder) bool {
+	if len(orders) == 0 {
+		return false
+	}
 	groups := map[model.GroupName]bool{}
 	for _, order := range orders {
 		target, registered := s.config.Cache.Snapshot().Instances[order.Target]
--- a/coord/record.go
+++ b/coord/record.go
@@ -30,7 +30,8 @@
 	if reported.Role != model.RolePrimary {
 		return errors.Newf("instance %s is no longer a primary", primaries[0].Name)
 	}
-	record := state.PrimaryRecord{Group: group, Term: reported.Term, Primary: primaries[0].Name, Replicas: []model.Incarnation{}}
+	era, _ := s.config.Cache.Era()
+	record := state.PrimaryRecord{Group: group, Term: reported.Term, Primary: primaries[0].Name, Replicas: []model.Incarnation{}, Era: era}
 	for _, i := range s.config.Cache.Snapshot().GroupInstances(group) {
 		if i.Name != record.Primary {
 			record.Replicas = append(record.Replicas, i.Incarnation())
--- a/coord/supervisor.go
+++ b/coord/supervisor.go
@@ -99,6 +99,9 @@
 	for retry.Sleep(ctx, assessInterval) {
 		now := clock.Now()
 		s.lease.observe(now)
+		if s.mustOpenEra(now) {
+			s.openEra(ctx)
+		}
 		for _, group := range s.config.Cache.Snapshot().Groups() {
 			s.assess(ctx, now, group)
 		}
@@ -143,8 +146,9 @@
 func (s *Supervisor) primaryState(now time.Time, group model.GroupName, g *groupState) elect.PrimaryState {
 	snapshot := s.config.Cache.Snapshot()
 	primary, record, registered := snapshot.Primary(group)
+	_, unconfirmed := snapshot.Unconfirmed[group]
 	observed := elect.PrimaryState{
-		Recorded: record.Version > 0, Registered: registered, AbsenceSettled: s.config.Cache.AbsenceSettled(now), Leaving: primary.Leaving,
+		Unconfirmed: unconfirmed, Recorded: record.Version > 0, Registered: registered, AbsenceSettled: s.config.Cache.AbsenceSettled(now), Leaving: primary.Leaving,
 	}
 	observed.NotLeadingSince = g.observeRole(now, registered && record.Next == nil && primary.Role == model.RoleReplica)
 	if registered && len(snapshot.Evacuated) > 0 {
@@ -220,6 +224,8 @@
 	switch cause {
 	case elect.CauseRecord:
 		err = s.recordPrimary(ctx, group)
+	case elect.CauseConfirm:
+		err = s.confirmPrimary(ctx, group)
 	case elect.CauseReplicas:
 		err = s.recordReplicas(ctx, group)
 	default:
--- a/elect/cause.go
+++ b/elect/cause.go
@@ -23,6 +23,8 @@
 	CauseGone Cause = "Gone"
 	// CauseReplicas means that the record does not name the replicas that an acknowledged commit may rest on.
 	CauseReplicas Cause = "Replicas"
+	// CauseConfirm means that the store came back from an older copy and may have forgotten the newest record.
+	CauseConfirm Cause = "Confirm"
 	// CauseResume means that a replacement was announced and is not continued by the process that announced it.
 	CauseResume Cause = "Resume"
 )
@@ -45,6 +47,8 @@
 
 // PrimaryState is what one VM has observed of the primary of a group.
 type PrimaryState struct {
+	// Unconfirmed reports that the record was not written since the store came back from an older copy.
+	Unconfirmed bool
 	// Recorded reports whether a row names the primary, and Registered whether the primary is registered.
 	Recorded, Registered bool
 	// AbsenceSettled reports whether a primary that is not registered is certainly gone. Otherwise it may not have registered again yet after
@@ -74,6 +78,8 @@
 // Assess returns why the primary has to be recorded or replaced, or its record changed, if it has to.
 func Assess(now time.Time, s PrimaryState) Cause {
 	switch {
+	case s.Unconfirmed:
+		return CauseConfirm
 	case !s.Recorded:
 		return CauseRecord
 	case s.Announced && (s.OwnAnnouncement || s.Abandoned || now.Sub(s.AnnouncedSince) >= resumeAfter):
--- a/elect/lease.go
+++ b/elect/lease.go
@@ -33,13 +33,21 @@
 	// PendingAge is how long before the row's last change the last of these orders was recorded at least. It is negative for one that may be sent later
 	// than orderSendTime after its record.
 	PendingAge time.Duration
+	// FirstInEra reports that the lease was not claimed yet in the present era of the store, which is known to have begun at EraSince. The store may have
+	// forgotten orders of the era before.
+	FirstInEra bool
+	EraSince   time.Time
 	// UnchangedSince is the instant since which the row of the lease has been observed unchanged.
 	UnchangedSince time.Time
 }
 
 // MayClaim reports whether the coordinator lease may be claimed. It may if it was given up or this VM holds it. Otherwise, no order
-// that its holder sent may still be under way. Unless the holder has ended, the lease must have expired too.
+// that its holder sent may still be under way. Unless the holder has ended, the lease must have expired too. Whoever holds it, no order of an earlier era of the
+// store may be under way.
 func MayClaim(now time.Time, c LeaseClaim) bool {
+	if c.FirstInEra && !OrdersEnded(now, c.EraSince) {
+		return false
+	}
 	if c.Released || c.HeldHere {
 		return true
 	}
@@ -59,6 +67,9 @@
 // SettledBy returns the instant from which an order can't be under way any more that was recorded at an instant.
 func SettledBy(recordedAt time.Time) time.Time { return recordedAt.Add(pendingOrderDelay) }
 
+// OrdersEnded reports whether no order can be under way that was recorded before an era of the store, which is known to have begun at an instant.
+func OrdersEnded(now, eraSince time.Time) bool { return now.Sub(eraSince) >= pendingOrderDelay }
+
 // MayOrder reports whether an order may still be recorded under a lease that was claimed or renewed by a call sent at claimedAt.
 func MayOrder(now, claimedAt time.Time) bool {
 	return now.Before(claimedAt.Add(coordinatorTTL - minOrderTime))
--- a/node/command.go
+++ b/node/command.go
@@ -69,9 +69,13 @@
 	}
 	scope, handler, closer := newMetrics(settings.VM)
 	defer func() { _ = closer.Close() }()
+	store := platform.NewStore(settings.Store)
+	store.OnBadEra(func(header string) {
+		logger.Warn("bad era in an answer of the store, the newest known one counts", "header", header)
+	})
 	n := New(Config{
 		Settings: settings, SettingsBody: body, SettingsPath: c.String("settings"), Signals: signals, Log: logger, Scope: scope, MetricsHandler: handler,
-		Dialer: platform.Dialer{}, OpenRows: func() model.RowStore { return platform.NewStore(settings.Store) },
+		Dialer: platform.Dialer{}, OpenRows: func() model.RowStore { return store.Open() },
 		Promotions: platform.NewPromotions(settings.Promotions),
 		Metrics:    netip.AddrPortFrom(settings.Address, c.Uint16("metrics-port")),
 	})
--- a/soak/config.go
+++ b/soak/config.go
@@ -36,6 +36,8 @@
 	// Evacuations, SlowStarts, LargeSettings and Crowds each add a series beside the other faults: failure domains are evacuated; instances start again
 	// and are cold; the settings grow to some hundred KiB and change while VMs are killed; clients misbehave.
 	Evacuations, SlowStarts, LargeSettings, Crowds bool
+	// Restores adds a series in which the store comes back from older copies.
+	Restores bool
 	// PlannedOnly replaces the faults by planned work: restarts, Together VMs at a time, and changes of settings.
 	PlannedOnly bool
 	Together    int
--- a/soak/domainstore.go
+++ b/soak/domainstore.go
@@ -6,11 +6,12 @@
 
 	"github.com/crocusshore/crocusshore/model"
 	"github.com/crocusshore/crocusshore/platform"
+	"github.com/crocusshore/crocusshore/stand"
 )
 
 // domainStore is the store for the VMs of one failure domain: in it, instances have the addresses of the domain's own proxies.
 type domainStore struct {
-	store   model.RowStore
+	store   *stand.RowsClient
 	proxies map[model.InstanceName]*Proxy
 }
 
@@ -28,6 +29,9 @@
 	return r.store.Apply(ctx, change)
 }
 
+// Era returns the era of the store.
+func (r *domainStore) Era() int64 { return r.store.Era() }
+
 // redirect replaces the addresses of instances in a page by those of the domain's proxies.
 func (r *domainStore) redirect(table model.TableName, page model.RowsPage) model.RowsPage {
 	if table != platform.TableInstances {
--- a/soak/run.go
+++ b/soak/run.go
@@ -111,6 +111,7 @@
 		{s.config.SlowStarts, startStream, (*injector).planStarts},
 		{s.config.LargeSettings, sizeStream, (*injector).planSizes},
 		{s.config.Crowds, crowdStream, (*injector).planCrowds},
+		{s.config.Restores, restoreStream, (*injector).planRestores},
 	} {
 		if series.wanted {
 			i := &injector{site: s, random: rand.New(rand.NewPCG(s.config.Seed, series.stream))}
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -23,6 +23,7 @@
 	for name, set := range map[string]func(*Config){
 		"evacuations": func(c *Config) { c.Evacuations = true }, "slow starts": func(c *Config) { c.SlowStarts = true },
 		"large settings": func(c *Config) { c.LargeSettings = true }, "crowds": func(c *Config) { c.Crowds = true },
+		"restores": func(c *Config) { c.Restores = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newPlanSite(true)
@@ -42,13 +43,13 @@
 func TestEachFaultOfTheNewSeriesIsDrawn(t *testing.T) {
 	i := &injector{site: newPlanSite(false), random: rand.New(rand.NewPCG(1, crowdStream))}
 	drawn := strings.Builder{}
-	for _, plan := range []func(time.Duration) []fault{i.planEvacuations, i.planStarts, i.planSizes, i.planCrowds} {
+	for _, plan := range []func(time.Duration) []fault{i.planEvacuations, i.planStarts, i.planSizes, i.planCrowds, i.planRestores} {
 		for _, f := range plan(2 * time.Minute) {
 			drawn.WriteString(f.name + "\n")
 		}
 	}
 	names := []string{
-		"failure domain a evacuated", "failure domain c evacuated", "i-1-2 ends", "fails true", "fails false", "new start true", "new start false", "more routes, timeout 1s", "timeout 1.", "killed",
+		"failure domain a evacuated", "failure domain c evacuated", "i-1-2 ends", "fails true", "fails false", "new start true", "new start false", "more routes, timeout 1s", "timeout 1.", "killed", "comes back from a copy",
 	}
 	for _, kind := range crowdKinds {
 		names = append(names, kind.name)
--- a/stand/rows.go
+++ b/stand/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -20,6 +21,7 @@
 		mu      sync.Mutex
 		changed *sync.Cond
 		started time.Time
+		// version is the newest version, which names the era.
 		version int64
 		rows    map[model.TableName]map[string]model.StoredRow
 		history []model.StoredRow
@@ -73,6 +75,64 @@
 	r.changed.Broadcast()
 }
 
+// RowsCopy is a copy of a store as of an instant.
+type RowsCopy struct {
+	version int64
+	rows    map[model.TableName]map[string]model.StoredRow
+}
+
+// Copy returns a copy of the store.
+func (r *Rows) Copy() RowsCopy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := RowsCopy{version: r.version, rows: map[model.TableName]map[string]model.StoredRow{}}
+	for table, rows := range r.rows {
+		c.rows[table] = maps.Clone(rows)
+	}
+	return c
+}
+
+// Restore brings the store back from a copy, in a new era: what was written since is gone, and the counter of versions goes back. The tables in keep stay as they
+// are, as if their writers had written everything again.
+func (r *Rows) Restore(from RowsCopy, keep ...model.TableName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	era := model.EraOf(r.version) + 1
+	kept := map[model.TableName]map[string]model.StoredRow{}
+	for _, table := range keep {
+		kept[table] = r.rows[table]
+	}
+	r.version = model.VersionIn(era, model.CountOf(from.version))
+	r.rows = map[model.TableName]map[string]model.StoredRow{}
+	for table, rows := range from.rows {
+		r.rows[table] = map[string]model.StoredRow{}
+		for key, row := range rows {
+			row.Version = model.VersionIn(era, model.CountOf(row.Version))
+			r.rows[table][key] = row
+		}
+	}
+	r.history, r.droppedVersion = nil, r.version
+	for table, rows := range kept {
+		r.rows[table] = map[string]model.StoredRow{}
+		for _, row := range rows {
+			r.version++
+			row.Version = r.version
+			r.put(row)
+		}
+	}
+	r.changed.Broadcast()
+}
+
+// Era returns the era of the store.
+func (r *Rows) Era() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return model.EraOf(r.version)
+}
+
+// Era returns the era of the store.
+func (c *RowsClient) Era() int64 { return c.rows.Era() }
+
 // DropHistory drops the history, so that a feed has to start again from the full table.
 func (r *Rows) DropHistory() {
 	r.mu.Lock()
@@ -181,7 +241,7 @@
 		if c.rows.unavailable(c.name) || ctx.Err() != nil {
 			return model.RowsPage{}, model.ErrStoreUnavailable
 		}
-		if after < c.rows.droppedVersion {
+		if after < c.rows.droppedVersion || after > c.rows.version {
 			return model.RowsPage{}, model.ErrHistoryUnavailable
 		}
 		page := c.rows.page()
--- a/state/absence.go
+++ b/state/absence.go
@@ -45,6 +45,13 @@
 	return c.instancesCurrentAt.Sub(since) >= registrationGracePeriod
 }
 
+// RegisteredAgain reports whether the instances had the time to register again in the present era of the store, which may have forgotten registrations.
+func (c *Cache) RegisteredAgain(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.eraSince) >= registrationGracePeriod && c.absenceWait(now, time.Time{}) <= 0
+}
+
 // AbsenceWait returns how much longer an instance whose registration is gone stays in use; it is 0 for any other instance.
 func (c *Cache) AbsenceWait(now time.Time, name model.InstanceName) time.Duration {
 	c.mu.Lock()
--- a/state/cache.go
+++ b/state/cache.go
@@ -30,8 +30,9 @@
 		// policyRowVersion and tableVersions are the newest versions of the settings row and of the tables that were applied.
 		policyRowVersion int64
 		tableVersions    map[model.TableName]int64
-		// tableCurrentAt is the newest instant at which Table is known to have had no newer row than those applied here.
-		tableCurrentAt time.Time
+		// tableCurrentAt is the newest instant at which Table is known to have had no newer row than those applied here, and earlierEraAt the newest
+		// one in an earlier era of the store. eraSince is the first instant at which the present era is known to have begun.
+		tableCurrentAt, earlierEraAt, eraSince time.Time
 		// termCheckedAt is the newest instant at which a replica of a group was not paused for a later term.
 		termCheckedAt map[model.GroupName]time.Time
 		// revoked holds the lowest version at which the row of a group may give a lease again.
@@ -170,10 +171,7 @@
 	if version < c.tableVersions[Table] {
 		return nil
 	}
-	if at.After(c.tableCurrentAt) {
-		c.tableCurrentAt = at
-	}
-	c.tableVersions[Table] = version
+	c.recordTableCurrent(version, at)
 	if len(rows) == 0 && !full {
 		return nil
 	}
@@ -181,6 +179,8 @@
 	if full {
 		fresh := newSnapshot()
 		next.Primaries, next.VMs, next.Coordinator = fresh.Primaries, fresh.VMs, fresh.Coordinator
+	} else {
+		next.restoreUnconfirmed() // Rows that did not change stay as they are.
 	}
 	before := c.snapshot.Load().VMs
 	var errs []error
@@ -189,11 +189,31 @@
 			errs = append(errs, err)
 		}
 	}
+	next.keepConfirmed(c.snapshot.Load().Primaries, model.EraOf(version))
 	c.recordRemovedVMs(before, next.VMs, at)
 	c.snapshot.Store(next)
 	return errors.Join(errs...)
 }
 
+// recordTableCurrent records that Table was current at a version; the caller holds the lock.
+func (c *Cache) recordTableCurrent(version int64, at time.Time) {
+	known := c.tableVersions[Table]
+	if model.EraOf(version) > model.EraOf(known) || c.eraSince.IsZero() {
+		c.earlierEraAt, c.eraSince = c.tableCurrentAt, at
+	}
+	if at.After(c.tableCurrentAt) {
+		c.tableCurrentAt = at
+	}
+	c.tableVersions[Table] = version
+}
+
+// Era returns the present era of the store, and the first instant at which this process knows it to have begun.
+func (c *Cache) Era() (era int64, since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return model.EraOf(c.tableVersions[Table]), c.eraSince
+}
+
 // recordRemovedVMs records when the row of a VM was last deleted.
 func (c *Cache) recordRemovedVMs(before, after map[model.VMID]VM, at time.Time) {
 	for name := range before {
--- a/state/lease.go
+++ b/state/lease.go
@@ -80,9 +80,18 @@
 // leaseEvidenceAt returns the instant of the newest evidence for a group: when the table was last current, or when a replica was last not
 // paused for a later term. The caller holds the lock.
 func (c *Cache) leaseEvidenceAt(group model.GroupName) time.Time {
-	evidenceAt := c.tableCurrentAt
+	evidenceAt := c.recordCurrentAt(group)
 	if at := c.termCheckedAt[group]; at.After(evidenceAt) {
 		evidenceAt = at
 	}
 	return evidenceAt
 }
+
+// recordCurrentAt returns the newest instant at which the primary record of a group is known to have been current. The store may have forgotten what followed
+// a record of an earlier era. The caller holds the lock.
+func (c *Cache) recordCurrentAt(group model.GroupName) time.Time {
+	if record := c.snapshot.Load().Primaries[group]; model.EraOf(record.Version) < model.EraOf(c.tableVersions[Table]) {
+		return c.earlierEraAt
+	}
+	return c.tableCurrentAt
+}
--- a/state/replicas.go
+++ b/state/replicas.go
@@ -29,8 +29,8 @@
 		return nil, time.Time{}, false
 	}
 	asOf = c.instancesCurrentAt
-	if c.tableCurrentAt.Before(asOf) {
-		asOf = c.tableCurrentAt
+	if at := c.recordCurrentAt(group); at.Before(asOf) {
+		asOf = at
 	}
 	return replicas, asOf, len(replicas) > 0
 }
--- a/state/rows.go
+++ b/state/rows.go
@@ -34,6 +34,8 @@
 		Replicas []model.Incarnation
 		// Next is set from the announcement of a replacement until the next primary is recorded or the old one is kept.
 		Next *Intent `json:",omitempty"`
+		// Era is the era of the store in which the record was written. In a later one it is not confirmed: the store may have forgotten newer ones.
+		Era int64 `json:",omitempty"`
 		// Write names the write of the row; see NewWriteID.
 		Write WriteID `json:",omitempty"`
 		// Version is the version of the row.
@@ -98,6 +100,18 @@
 	OrderResume OrderKind = "Resume"
 )
 
+// IsConfirmed reports whether the record was written in the era of the store in which it was read.
+func (r PrimaryRecord) IsConfirmed() bool { return r.Era == model.EraOf(r.Version) }
+
+// fenceEraShift is the number of bits of a fencing token that count the holders in an era of the store; the bits above hold the era.
+const fenceEraShift = 32
+
+// LeastFence returns the lowest fencing token of an era of the store. It is higher than all tokens of earlier eras, whether or not the store remembers them.
+func LeastFence(era int64) int64 { return era<<fenceEraShift + 1 }
+
+// EraOfFence returns the era of the store in which a fencing token was given out.
+func EraOfFence(fence int64) int64 { return fence >> fenceEraShift }
+
 // NewWriteID returns the name of a new write.
 func NewWriteID() WriteID { return WriteID(uuid.NewString()) }
 
@@ -162,6 +176,43 @@
 	return nil
 }
 
+// restoreUnconfirmed undoes keepConfirmed before rows are applied.
+func (s *Snapshot) restoreUnconfirmed() {
+	for group, stored := range s.Unconfirmed {
+		if stored.Version > 0 {
+			s.Primaries[group] = stored
+		} else {
+			delete(s.Primaries, group)
+		}
+	}
+}
+
+// keepConfirmed moves the records that are not confirmed to Unconfirmed. Until they are, the records of an earlier era stay, also those that the store has
+// forgotten, unless the store has a later term.
+func (s *Snapshot) keepConfirmed(before map[model.GroupName]PrimaryRecord, era int64) {
+	unconfirmed := map[model.GroupName]PrimaryRecord{}
+	for group, record := range s.Primaries {
+		if !record.IsConfirmed() {
+			unconfirmed[group] = record
+			delete(s.Primaries, group)
+		}
+	}
+	for group, known := range before {
+		stored, exists := s.Primaries[group]
+		if exists || model.EraOf(known.Version) == era {
+			continue
+		}
+		if stored = unconfirmed[group]; stored.Version == 0 {
+			stored.Group = group
+			unconfirmed[group] = stored
+		}
+		if known.Term >= stored.Term {
+			s.Primaries[group] = known
+		}
+	}
+	s.Unconfirmed = unconfirmed
+}
+
 func (s *Snapshot) applyVM(name model.VMID, r model.StoredRow) error {
 	if r.Removed {
 		delete(s.VMs, name)
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -27,9 +27,12 @@
 
 	// Snapshot is one version of the cached state; it does not change after it is published.
 	Snapshot struct {
-		Policy      *policy.Policy
-		Instances   map[model.InstanceName]model.Instance
-		Primaries   map[model.GroupName]PrimaryRecord
+		Policy    *policy.Policy
+		Instances map[model.InstanceName]model.Instance
+		Primaries map[model.GroupName]PrimaryRecord
+		// Unconfirmed holds the primary records of groups that were not written in the present era of the store, as the store has them. One that it does not
+		// have has version 0. No primary is used because of them. Primaries has the records of such groups that were known in an earlier era.
+		Unconfirmed map[model.GroupName]PrimaryRecord
 		VMs         map[model.VMID]VM
 		Coordinator CoordinatorLease
 		// Evacuated holds the evacuated failure domains.
@@ -49,6 +52,7 @@
 	c := *s
 	c.Instances = maps.Clone(s.Instances)
 	c.Primaries = maps.Clone(s.Primaries)
+	c.Unconfirmed = maps.Clone(s.Unconfirmed)
 	c.VMs = maps.Clone(s.VMs)
 	return &c
 }
@@ -80,6 +84,9 @@
 	for group := range s.Primaries {
 		seen[group] = true
 	}
+	for group := range s.Unconfirmed {
+		seen[group] = true
+	}
 	groups := make([]model.GroupName, 0, len(seen))
 	for group := range seen {
 		groups = append(groups, group)
--- a/watch/apply.go
+++ b/watch/apply.go
@@ -1,18 +1,27 @@
 package watch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/crocusshore/crocusshore/clock"
 	"github.com/crocusshore/crocusshore/model"
+	"github.com/crocusshore/crocusshore/state"
 )
 
 // Apply applies a page of a table to the cached table and the cached state; at is an instant at which the page was current.
 func (w *Watcher) Apply(table model.TableName, page model.RowsPage, full bool, at time.Time) {
 	cached := w.cached[table]
-	if cached == nil || !w.merge(cached, table, page, full, at) {
+	if cached == nil {
 		return
 	}
+	before, _ := cached.versionAndTime()
+	if !w.merge(cached, table, page, full, at) {
+		return
+	}
+	if before > 0 && model.EraOf(page.Version) > model.EraOf(before) {
+		defer w.recordEra(table, before, page.Version)
+	}
 	defer w.notifyChanged(len(page.Rows) > 0 || full)
 	switch table {
 	case w.config.Settings:
@@ -26,6 +35,27 @@
 	}
 }
 
+// recordEra logs that the store came back from an older copy, with what of the program's own table stays in use until it is confirmed.
+func (w *Watcher) recordEra(table model.TableName, before, version int64) {
+	if table != state.Table {
+		return
+	}
+	w.config.Metrics.Counter("store_eras").Inc(1)
+	s := w.config.Cache.Snapshot()
+	var kept, unknown []model.GroupName
+	for group := range s.Unconfirmed {
+		if _, known := s.Primaries[group]; known {
+			kept = append(kept, group)
+		} else {
+			unknown = append(unknown, group)
+		}
+	}
+	slices.Sort(kept)
+	slices.Sort(unknown)
+	w.config.Log.Warn("the store came back from an older copy", "era", model.EraOf(version), "count-before", model.CountOf(before), "count", model.CountOf(version),
+		"primaries-kept", kept, "primaries-unknown", unknown, "vms", len(s.VMs), "fence", s.Coordinator.Fence)
+}
+
 func (w *Watcher) notifyChanged(changed bool) {
 	if !changed {
 		return
