A session keeps its last commit in each group

Cause: a session kept the position of one group only, that of its last commit, so that reads of the first group required just the staleness of the route.

--- a/sess/outcome_test.go
+++ b/sess/outcome_test.go
@@ -64,6 +64,20 @@
 	require.Equal(t, model.Mark{Term: 1, Position: 2}, s.LastCommit("b"))
 }
 
+// TestCommitsInOtherGroupsDoNotHideACommit guards against a session that does not see its own write: its route moved to another group, where it committed as
+// well, and back.
+func TestCommitsInOtherGroupsDoNotHideACommit(t *testing.T) {
+	s := New()
+	s.RecordCommit("a", model.Mark{Term: 1, Position: 5})
+	s.RecordCommit("b", model.Mark{Term: 1, Position: 2})
+	require.Equal(t, model.Mark{Term: 1, Position: 5}, s.LastCommit("a"))
+	s.RecordCommit("a", model.Mark{Term: 1, Position: 4})
+	require.Equal(t, model.Mark{Term: 1, Position: 5}, s.LastCommit("a"), "a late answer does not move it back")
+	s.RecordCommit("a", model.Mark{Term: 2, Position: 6})
+	require.Equal(t, model.Mark{Term: 2, Position: 6}, s.LastCommit("a"))
+	require.Equal(t, model.Mark{Term: 1, Position: 2}, s.LastCommit("b"))
+}
+
 func TestSetDoesNotChangeOlderMaps(t *testing.T) {
 	s := New()
 	s.Set("zone", "a")
--- a/sess/session.go
+++ b/sess/session.go
@@ -2,23 +2,31 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/crocusshore/crocusshore/model"
 )
 
-// Session is the state that a caller's session keeps between statements, whichever connections they run on.
-type Session struct {
-	// Values are the session values that were acknowledged to the caller.
-	Values map[string]string
-	// Prepared are the prepared statements by the names that the caller gave them.
-	Prepared map[string]model.Prepared
-	State    model.TxState
-
-	group      model.GroupName
-	lastCommit model.Mark
-	// size is the size of Values and Prepared in bytes, and valuesSize that of Values alone.
-	size, valuesSize int
-}
+type (
+	// Session is the state that a caller's session keeps between statements, whichever connections they run on.
+	Session struct {
+		// Values are the session values that were acknowledged to the caller.
+		Values map[string]string
+		// Prepared are the prepared statements by the names that the caller gave them.
+		Prepared map[string]model.Prepared
+		State    model.TxState
+
+		// commits holds the last commit in each group in which the session has committed. That is one group, unless its route moved.
+		commits []groupCommit
+		// size is the size of Values and Prepared in bytes, and valuesSize that of Values alone.
+		size, valuesSize int
+	}
+
+	groupCommit struct {
+		group model.GroupName
+		mark  model.Mark
+	}
+)
 
 // New returns the state of a new session.
 func New() *Session {
@@ -33,21 +41,27 @@
 	s.Values = values
 }
 
-// RecordCommit records the log position of a commit of the session in a group. The session keeps the highest position of one group only,
-// the one that it committed in last.
+// RecordCommit records the log position of a commit of the session in a group. The session keeps the highest position of each group, since its route may move
+// to another group and back.
 func (s *Session) RecordCommit(group model.GroupName, mark model.Mark) {
-	if s.group != group {
-		s.group, s.lastCommit = group, model.Mark{}
-	}
-	if s.lastCommit.Before(mark) {
-		s.lastCommit = mark
+	at := s.indexOfCommit(group)
+	switch {
+	case at < 0:
+		s.commits = append(s.commits, groupCommit{group: group, mark: mark})
+	case s.commits[at].mark.Before(mark):
+		s.commits[at].mark = mark
 	}
 }
 
 // LastCommit returns the log position of the session's last commit in a group.
 func (s *Session) LastCommit(group model.GroupName) model.Mark {
-	if s.group != group {
-		return model.Mark{}
+	if at := s.indexOfCommit(group); at >= 0 {
+		return s.commits[at].mark
 	}
-	return s.lastCommit
+	return model.Mark{}
+}
+
+// indexOfCommit returns the index of the last commit in a group, negative if there is none.
+func (s *Session) indexOfCommit(group model.GroupName) int {
+	return slices.IndexFunc(s.commits, func(c groupCommit) bool { return c.group == group })
 }
