--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -194,3 +194,14 @@
 	require.Empty(t, report.Violations)
 	require.Positive(t, report.Acknowledged)
 }
+
+// TestReturnsOfTheStoreAreSurvived guards against lost commits, stale reads, repeated tokens and VMs that do not serve after the store came back from older copies.
+func TestReturnsOfTheStoreAreSurvived(t *testing.T) {
+	report, err := Run(t.Context(), Config{
+		Program: buildDaemon(t), Dir: t.TempDir(), Seed: 1, VMs: 4, Groups: 1, Sessions: 12, For: 8 * time.Second, Restores: true, Log: log.New(io.Discard),
+	})
+	require.NoError(t, err)
+	t.Logf("%d acknowledged, %d refused, %d open; faults %q", report.Acknowledged, report.Refused, report.Unknown, report.Faults)
+	require.Empty(t, report.Violations)
+	require.Positive(t, report.Acknowledged)
+}
