After a return of the store few VMs ask the instances

By reading: the delays by which VMs act one after the other ran out while instances registered again, so that all VMs would have asked all instances at once, and again every 0.7 s while one is silent. Now the readers of the failure domains ask, and the others once no forgotten order can be under way. The first claim in an era no longer holds up the assessments, and is tried again after 0.7 s, not 60 ms. The recorded end of a demoted primary is a copy.

New tests: coord TestFewVMsConfirmAPrimary, two cases of elect TestAssess.

--- a/coord/confirm.go
+++ b/coord/confirm.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,6 +14,19 @@
 	"github.com/crocusshore/crocusshore/state"
 )
 
+// confirmRetryDelay is the pause after an attempt to confirm a primary that failed, since each attempt asks all instances.
+const confirmRetryDelay = time.Second
+
+// confirmDue reports whether this VM may confirm primaries: the instances had the time to register again, and either this VM reads the store for its failure
+// domain, or no forgotten order can be under way, so that the readers should have succeeded.
+func (s *Supervisor) confirmDue(now time.Time) bool {
+	if !s.config.Cache.RegisteredAgain(now) {
+		return false
+	}
+	_, since := s.config.Cache.Era()
+	return s.turn(now).Reader >= 0 || elect.OrdersEnded(now, since)
+}
+
 // confirmPrimary records the primary of a group anew after the store came back from an older copy, which may name an earlier primary. It needs no
 // coordinator lease: it orders nothing, and records an instance only if no order can be under way that replaces it.
 func (s *Supervisor) confirmPrimary(ctx context.Context, group model.GroupName) error {
--- a/coord/era.go
+++ b/coord/era.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/crocusshore/crocusshore/elect"
+	"github.com/crocusshore/crocusshore/retry"
 	"github.com/crocusshore/crocusshore/state"
 )
 
@@ -18,11 +19,13 @@
 	return s.isRegistered() && elect.OrdersEnded(now.Add(-s.startDelay(now)), since)
 }
 
-// openEra claims the coordinator lease and gives it up.
+// openEra claims the coordinator lease and gives it up. After a failure, it waits before it may be tried again.
 func (s *Supervisor) openEra(ctx context.Context) {
+	defer s.openingEra.Store(false)
 	lease, err := s.claimLease(ctx)
 	if err == nil {
 		s.lease.giveUp(context.WithoutCancel(ctx))
 	}
 	s.config.Log.Info("first claim of the coordinator lease since the store came back from an older copy", "fence", lease.Fence, "error", err)
+	retry.Sleep(ctx, retryDelay)
 }
--- a/coord/era_test.go
+++ b/coord/era_test.go
@@ -194,3 +194,25 @@
 	r := &replacement{s: s, group: "g", record: h.cache.Snapshot().Primaries["g"]}
 	require.True(t, r.superseded())
 }
+
+// TestFewVMsConfirmAPrimary guards against requests of all VMs to all instances at once after a return of the store.
+func TestFewVMsConfirmAPrimary(t *testing.T) {
+	rows := stand.NewRows()
+	first := newLeaseClaimant(t, rows, "a", "boot")
+	first.register()
+	other := newLeaseClaimant(t, rows, "b", "boot")
+	other.register()
+	due := func(h *leaseClaimant, since time.Time) bool {
+		for at := since; at.Before(clock.Now()); at = at.Add(time.Second) {
+			h.cache.ApplyInstances(1, false, nil, nil, at)
+		}
+		h.refreshAsOf(since)
+		s := &Supervisor{config: Config{Self: h.self, Boot: h.boot, Cache: h.cache, Rankings: state.NewRankings(h.cache)}, lease: h.coordinatorLease}
+		return s.confirmDue(clock.Now())
+	}
+	require.NotEqual(t, due(first, clock.Now().Add(-3*time.Second)), due(other, clock.Now().Add(-3*time.Second)), "the reader of the failure domain")
+	for _, name := range []model.VMID{"a", "b"} {
+		require.False(t, due(newLeaseClaimant(t, rows, name, "boot"), clock.Now().Add(-time.Second)), "instances may not have registered again")
+		require.True(t, due(newLeaseClaimant(t, rows, name, "boot"), longAgo()), "the readers have failed")
+	}
+}
--- a/coord/handover.go
+++ b/coord/handover.go
@@ -82,9 +82,8 @@
 // recordFinal adds the end of the demoted primary's log to the announcement, before the wait for the leases: the old primary may leave for good, and the
 // replicas alone need not show that they have everything.
 func (r *replacement) recordFinal(ctx context.Context) error {
-	next := r.record
-	intent := *next.Next
-	intent.Final = &r.final
+	next, intent, final := r.record, *r.record.Next, r.final
+	intent.Final = &final
 	next.Next = &intent
 	version, err := r.writeRecord(ctx, next)
 	r.s.config.Log.Info("demotion recorded", "group", r.group, "instance", r.old.Name, "final", r.final, "row-version", version, "error", err)
--- a/coord/supervisor.go
+++ b/coord/supervisor.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,6 +59,9 @@
 		config Config
 		lease  *coordinatorLease
 
+		// openingEra is set while this VM claims the coordinator lease for the first time in an era of the store.
+		openingEra atomic.Bool
+
 		mu     sync.Mutex
 		groups map[model.GroupName]*groupState
 	}
@@ -99,8 +103,8 @@
 	for retry.Sleep(ctx, assessInterval) {
 		now := clock.Now()
 		s.lease.observe(now)
-		if s.mustOpenEra(now) {
-			s.openEra(ctx)
+		if s.mustOpenEra(now) && s.openingEra.CompareAndSwap(false, true) {
+			go s.openEra(ctx)
 		}
 		for _, group := range s.config.Cache.Snapshot().Groups() {
 			s.assess(ctx, now, group)
@@ -130,8 +134,11 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		g.busy, g.notBefore = false, clock.Now().Add(retryDelay)
-		if err != nil && cause == elect.CauseReplicas {
+		switch {
+		case err != nil && cause == elect.CauseReplicas:
 			g.dropNotBefore = clock.Now().Add(dropRetryDelay)
+		case err != nil && cause == elect.CauseConfirm:
+			g.notBefore = clock.Now().Add(confirmRetryDelay)
 		}
 	}()
 }
@@ -148,7 +155,7 @@
 	primary, record, registered := snapshot.Primary(group)
 	_, unconfirmed := snapshot.Unconfirmed[group]
 	observed := elect.PrimaryState{
-		Unconfirmed: unconfirmed, Recorded: record.Version > 0, Registered: registered, AbsenceSettled: s.config.Cache.AbsenceSettled(now), Leaving: primary.Leaving,
+		Unconfirmed: unconfirmed, ConfirmDue: unconfirmed && s.confirmDue(now), Recorded: record.Version > 0, Registered: registered, AbsenceSettled: s.config.Cache.AbsenceSettled(now), Leaving: primary.Leaving,
 	}
 	observed.NotLeadingSince = g.observeRole(now, registered && record.Next == nil && primary.Role == model.RoleReplica)
 	if registered && len(snapshot.Evacuated) > 0 {
--- a/elect/cause.go
+++ b/elect/cause.go
@@ -47,8 +47,8 @@
 
 // PrimaryState is what one VM has observed of the primary of a group.
 type PrimaryState struct {
-	// Unconfirmed reports that the record was not written since the store came back from an older copy.
-	Unconfirmed bool
+	// Unconfirmed reports that the record was not written since the store came back from an older copy, and ConfirmDue that this VM may confirm it now.
+	Unconfirmed, ConfirmDue bool
 	// Recorded reports whether a row names the primary, and Registered whether the primary is registered.
 	Recorded, Registered bool
 	// AbsenceSettled reports whether a primary that is not registered is certainly gone. Otherwise it may not have registered again yet after
@@ -78,8 +78,18 @@
 // Assess returns why the primary has to be recorded or replaced, or its record changed, if it has to.
 func Assess(now time.Time, s PrimaryState) Cause {
 	switch {
-	case s.Unconfirmed:
+	case s.Unconfirmed && s.ConfirmDue:
 		return CauseConfirm
+	case s.Unconfirmed:
+		return CauseNone
+	default:
+		return s.assessRecord(now)
+	}
+}
+
+// assessRecord assesses a primary whose record, if there is one, was written in the present era of the store.
+func (s PrimaryState) assessRecord(now time.Time) Cause {
+	switch {
 	case !s.Recorded:
 		return CauseRecord
 	case s.Announced && (s.OwnAnnouncement || s.Abandoned || now.Sub(s.AnnouncedSince) >= resumeAfter):
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -42,6 +42,8 @@
 	}{
 		{"healthy", healthy, CauseNone},
 		{"no row yet", PrimaryState{Registered: true}, CauseRecord},
+		{"unconfirmed", with(func(s *PrimaryState) { s.Unconfirmed, s.Leaving, s.ConfirmDue = true, true, true }), CauseConfirm},
+		{"unconfirmed, and others confirm it first", with(func(s *PrimaryState) { s.Unconfirmed, s.Leaving = true, true }), CauseNone},
 		{"leaving", with(func(s *PrimaryState) { s.Leaving = true }), CausePlanned},
 		{"registration gone", PrimaryState{Recorded: true, AbsenceSettled: true}, CauseGone},
 		{"not registered again yet after an outage of the store", PrimaryState{Recorded: true}, CauseNone},
