A primary that does not lead is not used after a return of the store

By reading: if no instance leads 11 s after a return, the record of before is written again so that its primary can be replaced. VMs would have got a lease on it meanwhile, and sent it reads of primary routes although it answers as a replica. The record has an intent now. New test of coord, and the case of elect TestConfirmPrimary.

--- a/coord/confirm.go
+++ b/coord/confirm.go
@@ -53,6 +53,9 @@
 		Group: group, Term: confirmed.Term, Primary: confirmed.Instance, Era: era, Write: state.NewWriteID(),
 		Replicas: without(mergeReplicas(snapshot.GroupInstances(group), known, stored), confirmed.Instance),
 	}
+	if confirmed.Replace {
+		record.Next = &state.Intent{Term: confirmed.Term + 1} // Whoever holds the coordinator lease resumes it.
+	}
 	row, err := record.Row()
 	if err != nil {
 		return err
@@ -61,7 +64,7 @@
 		Expected: []model.StoredRow{{Table: row.Table, Key: row.Key, Version: stored.Version}}, Writes: []model.StoredRow{row},
 	})
 	s.config.Log.Info("primary confirmed after the store came back from an older copy", "group", group, "era", era, "instance", record.Primary, "term", record.Term,
-		"known", restored.Known, "stored", restored.Stored, "replicas", names(record.Replicas), "row-version", version, "error", err)
+		"replace", confirmed.Replace, "known", restored.Known, "stored", restored.Stored, "replicas", names(record.Replicas), "row-version", version, "error", err)
 	return err
 }
 
--- a/coord/era_test.go
+++ b/coord/era_test.go
@@ -216,3 +216,17 @@
 		require.True(t, due(newLeaseClaimant(t, rows, name, "boot"), longAgo()), "the readers have failed")
 	}
 }
+
+// TestRecordOfAnInstanceThatDoesNotLeadGivesNoLease guards against reads of a former primary: none leads, so that the record of before stands and its primary has to be
+// replaced, but it answers.
+func TestRecordOfAnInstanceThatDoesNotLeadGivesNoLease(t *testing.T) {
+	stored := state.PrimaryRecord{Group: "g", Term: 1, Primary: "i-1", Replicas: []model.Incarnation{}}
+	instances := map[model.InstanceName]model.InstanceState{"i-1": demotedAtTerm1, "i-2": pausedForTerm2, "i-3": pausedForTerm2}
+	s, h := newConfirming(t, nil, stored, &changingDialer{states: instances}, longAgo())
+	require.NoError(t, s.confirmPrimary(t.Context(), "g"))
+	h.refresh()
+	record := h.cache.Snapshot().Primaries["g"]
+	require.NotNil(t, record.Next)
+	require.Equal(t, model.Term(2), record.Next.Term)
+	require.True(t, isAbandoned(&state.Snapshot{Coordinator: state.CoordinatorLease{Fence: 1, Released: true}}, *record.Next), "it is resumed at once")
+}
--- a/elect/confirm.go
+++ b/elect/confirm.go
@@ -1,6 +1,10 @@
 package elect
 
-import "github.com/crocusshore/crocusshore/model"
+import (
+	"slices"
+
+	"github.com/crocusshore/crocusshore/model"
+)
 
 type (
 	// RecordedPrimary is the primary of a group as a record names it; zero if there is no record.
@@ -9,6 +13,12 @@
 		Term     model.Term
 	}
 
+	// ConfirmedPrimary is the primary to record. Replace reports that it answers and does not lead, so that it must be replaced before it is used.
+	ConfirmedPrimary struct {
+		RecordedPrimary
+		Replace bool
+	}
+
 	// Standing is what a registered instance of a group answers about itself.
 	Standing struct {
 		Instance model.InstanceName
@@ -34,9 +44,9 @@
 // way, it is confirmed only if all other instances answer and none is paused for a later term: the target of an order was paused for it, unless the
 // primary had been demoted. If none leads once no order can be under way, the later record stands, so that its primary can be replaced. It does not if an
 // instance knows a later term, because the records are too old then.
-func ConfirmPrimary(g RestoredGroup) (RecordedPrimary, bool) {
+func ConfirmPrimary(g RestoredGroup) (ConfirmedPrimary, bool) {
 	if !g.Registered {
-		return RecordedPrimary{}, false
+		return ConfirmedPrimary{}, false
 	}
 	recorded := g.Stored
 	if g.Known.Term > recorded.Term {
@@ -58,10 +68,15 @@
 	}
 	switch {
 	case leader.Term > 0 && leader.Term >= recorded.Term && newest <= leader.Term:
-		return leader, quiet || g.OrdersEnded
+		return ConfirmedPrimary{RecordedPrimary: leader}, quiet || g.OrdersEnded
 	case recorded.Term > 0 && newest <= recorded.Term:
-		return recorded, g.OrdersEnded
+		return ConfirmedPrimary{RecordedPrimary: recorded, Replace: g.answers(recorded.Instance)}, g.OrdersEnded
 	default:
-		return RecordedPrimary{}, false
+		return ConfirmedPrimary{}, false
 	}
 }
+
+// answers reports whether an instance answered.
+func (g RestoredGroup) answers(name model.InstanceName) bool {
+	return slices.ContainsFunc(g.Standings, func(s Standing) bool { return s.Instance == name && s.Answered })
+}
--- a/elect/confirm_test.go
+++ b/elect/confirm_test.go
@@ -21,20 +21,21 @@
 	a1, b2 := RecordedPrimary{"a", 1}, RecordedPrimary{"b", 2}
 	for name, c := range map[string]struct {
 		group RestoredGroup
-		// now is what is confirmed at once, and later what is once no order can be under way.
+		// now is what is confirmed at once, and later what is once no order can be under way; replace is set if that one must be replaced then.
 		now, later RecordedPrimary
+		replace    bool
 	}{
-		"it stayed":                               {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), follows("b", 1, 0)}}, a1, a1},
-		"its promotion was forgotten":             {RestoredGroup{Stored: a1, Standings: []Standing{follows("a", 2, 0), leads("b", 2)}}, b2, b2},
-		"its record was forgotten":                {RestoredGroup{Known: b2, Standings: []Standing{follows("a", 2, 0), leads("b", 2)}}, b2, b2},
-		"the former one has not heard of it":      {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), leads("b", 2)}}, b2, b2},
-		"it does not answer, the former one does": {RestoredGroup{Stored: a1, Known: b2, Standings: []Standing{leads("a", 1), silent}}, RecordedPrimary{}, b2},
-		"a replica follows a later one":           {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), follows("b", 2, 0), silent}}, RecordedPrimary{}, RecordedPrimary{}},
-		"one may be about to be promoted":         {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), follows("b", 1, 2)}}, RecordedPrimary{}, a1},
-		"one does not answer":                     {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), silent}}, RecordedPrimary{}, a1},
-		"none leads":                              {RestoredGroup{Stored: a1, Standings: []Standing{follows("a", 1, 0), follows("b", 1, 2)}}, RecordedPrimary{}, a1},
-		"none leads, and a later one did":         {RestoredGroup{Stored: a1, Standings: []Standing{follows("a", 2, 0)}}, RecordedPrimary{}, RecordedPrimary{}},
-		"nothing is known":                        {RestoredGroup{}, RecordedPrimary{}, RecordedPrimary{}},
+		"it stayed":                               {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), follows("b", 1, 0)}}, a1, a1, false},
+		"its promotion was forgotten":             {RestoredGroup{Stored: a1, Standings: []Standing{follows("a", 2, 0), leads("b", 2)}}, b2, b2, false},
+		"its record was forgotten":                {RestoredGroup{Known: b2, Standings: []Standing{follows("a", 2, 0), leads("b", 2)}}, b2, b2, false},
+		"the former one has not heard of it":      {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), leads("b", 2)}}, b2, b2, false},
+		"it does not answer, the former one does": {RestoredGroup{Stored: a1, Known: b2, Standings: []Standing{leads("a", 1), silent}}, RecordedPrimary{}, b2, false},
+		"a replica follows a later one":           {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), follows("b", 2, 0), silent}}, RecordedPrimary{}, RecordedPrimary{}, false},
+		"one may be about to be promoted":         {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), follows("b", 1, 2)}}, RecordedPrimary{}, a1, false},
+		"one does not answer":                     {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), silent}}, RecordedPrimary{}, a1, false},
+		"none leads":                              {RestoredGroup{Stored: a1, Standings: []Standing{follows("a", 1, 0), follows("b", 1, 2)}}, RecordedPrimary{}, a1, true},
+		"none leads, and a later one did":         {RestoredGroup{Stored: a1, Standings: []Standing{follows("a", 2, 0)}}, RecordedPrimary{}, RecordedPrimary{}, false},
+		"nothing is known":                        {RestoredGroup{}, RecordedPrimary{}, RecordedPrimary{}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := c.group
@@ -44,13 +45,13 @@
 			confirmed, ok = ConfirmPrimary(g)
 			require.Equal(t, c.now != RecordedPrimary{}, ok)
 			if ok {
-				require.Equal(t, c.now, confirmed)
+				require.Equal(t, ConfirmedPrimary{RecordedPrimary: c.now}, confirmed)
 			}
 			g.OrdersEnded = true
 			confirmed, ok = ConfirmPrimary(g)
 			require.Equal(t, c.later != RecordedPrimary{}, ok)
 			if ok {
-				require.Equal(t, c.later, confirmed)
+				require.Equal(t, ConfirmedPrimary{RecordedPrimary: c.later, Replace: c.replace}, confirmed)
 			}
 		})
 	}
--- a/node/era_test.go
+++ b/node/era_test.go
@@ -80,6 +80,7 @@
 // TestForgottenReplacementsAreNotRepeated guards against fencing tokens that repeat, and reads of a former primary, after the store came back from a copy of before
 // two replacements: a VM that started later knew of none, and the others went on as if nothing had happened.
 func TestForgottenReplacementsAreNotRepeated(t *testing.T) {
+	t.Parallel()
 	const handover, settled = 10 * time.Second, 25 * time.Second
 	s := newSite(t, 3)
 	recorder := &fenceRecorder{next: s.cluster}
