A former primary is not confirmed while two instances are silent

Whatever was acknowledged in a later term is on two instances that know it. So all but one must answer, and know no later term; recorded instances without a registration count for 20 s.

--- a/coord/confirm.go
+++ b/coord/confirm.go
@@ -45,6 +45,9 @@
 	if restored.Registered {
 		restored.Standings = s.askStandings(snapshot.GroupInstances(group))
 	}
+	if !s.config.Cache.AbsentReplicasGone(clock.Now(), group) {
+		restored.Absent = countAbsent(snapshot.GroupInstances(group), known, stored)
+	}
 	confirmed, ok := elect.ConfirmPrimary(restored)
 	if !ok {
 		return errors.Newf("the primary of era %d is not known yet: known %v, stored %v, instances %v", era, restored.Known, restored.Stored, restored.Standings)
@@ -68,6 +71,21 @@
 	return err
 }
 
+// countAbsent returns the number of instances that records name and that are not registered.
+func countAbsent(registered []model.Instance, records ...state.PrimaryRecord) int {
+	absent := map[model.InstanceName]bool{}
+	for _, record := range records {
+		for _, name := range append(names(record.Replicas), record.Primary) {
+			absent[name] = true
+		}
+	}
+	delete(absent, "") // A record that does not exist names no primary.
+	for _, i := range registered {
+		delete(absent, i.Name)
+	}
+	return len(absent)
+}
+
 // askStandings asks instances for their state in parallel.
 func (s *Supervisor) askStandings(instances []model.Instance) []elect.Standing {
 	standings := make([]elect.Standing, len(instances))
--- a/coord/era_test.go
+++ b/coord/era_test.go
@@ -152,7 +152,9 @@
 		"by one that does not":  {nil, []model.InstanceName{"i-1", "i-3", "i-gone"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, h := newConfirming(t, c.known, stored, &changingDialer{states: instances}, clock.Now().Add(-3*time.Second))
+			s, _ := newConfirming(t, c.known, stored, &changingDialer{states: instances}, clock.Now().Add(-3*time.Second))
+			require.Error(t, s.confirmPrimary(t.Context(), "g"), "a recorded replica may come back")
+			s, h := newConfirming(t, c.known, stored, &changingDialer{states: instances}, clock.Now().Add(-25*time.Second))
 			require.NoError(t, s.confirmPrimary(t.Context(), "g"))
 			h.refresh()
 			snapshot := h.cache.Snapshot()
--- a/elect/confirm.go
+++ b/elect/confirm.go
@@ -31,6 +31,8 @@
 		// Known is the primary that this VM knew before, and Stored the one that the store has now. Either may be out of date.
 		Known, Stored RecordedPrimary
 		Standings     []Standing
+		// Absent is the number of recorded instances that are not registered and may come back.
+		Absent int
 		// Registered reports that the instances had the time to register again.
 		Registered bool
 		// OrdersEnded reports that no order of before can be under way any more.
@@ -44,6 +46,8 @@
 // way, it is confirmed only if all other instances answer and none is paused for a later term: the target of an order was paused for it, unless the
 // primary had been demoted. If none leads once no order can be under way, the later record stands, so that its primary can be replaced. It does not if an
 // instance knows a later term, because the records are too old then.
+//
+// Whatever has been acknowledged in a later term is on two instances that know it. So none was if all but one instance answer and know none.
 func ConfirmPrimary(g RestoredGroup) (ConfirmedPrimary, bool) {
 	if !g.Registered {
 		return ConfirmedPrimary{}, false
@@ -52,10 +56,10 @@
 	if g.Known.Term > recorded.Term {
 		recorded = g.Known
 	}
-	leader, newest, quiet := RecordedPrimary{}, model.Term(0), true
+	leader, newest, silent := RecordedPrimary{}, model.Term(0), g.Absent
 	for _, s := range g.Standings {
 		if !s.Answered {
-			quiet = false
+			silent++
 			continue
 		}
 		newest = max(newest, s.State.Term)
@@ -63,10 +67,10 @@
 			leader = RecordedPrimary{Instance: s.Instance, Term: s.State.Term}
 		}
 	}
-	for _, s := range g.Standings {
-		quiet = quiet && s.State.Held <= leader.Term
-	}
+	quiet := silent == 0 && !slices.ContainsFunc(g.Standings, func(s Standing) bool { return s.State.Held > leader.Term })
 	switch {
+	case silent > 1:
+		return ConfirmedPrimary{}, false
 	case leader.Term > 0 && leader.Term >= recorded.Term && newest <= leader.Term:
 		return ConfirmedPrimary{RecordedPrimary: leader}, quiet || g.OrdersEnded
 	case recorded.Term > 0 && newest <= recorded.Term:
--- a/elect/confirm_test.go
+++ b/elect/confirm_test.go
@@ -35,6 +35,9 @@
 		"one does not answer":                     {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), silent}}, RecordedPrimary{}, a1, false},
 		"none leads":                              {RestoredGroup{Stored: a1, Standings: []Standing{follows("a", 1, 0), follows("b", 1, 2)}}, RecordedPrimary{}, a1, true},
 		"none leads, and a later one did":         {RestoredGroup{Stored: a1, Standings: []Standing{follows("a", 2, 0)}}, RecordedPrimary{}, RecordedPrimary{}, false},
+		"two do not answer":                       {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), silent, {Instance: "d"}}}, RecordedPrimary{}, RecordedPrimary{}, false},
+		"two are absent":                          {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), follows("b", 1, 0)}, Absent: 2}, RecordedPrimary{}, RecordedPrimary{}, false},
+		"one is absent":                           {RestoredGroup{Stored: a1, Standings: []Standing{leads("a", 1), follows("b", 1, 0)}, Absent: 1}, RecordedPrimary{}, a1, false},
 		"nothing is known":                        {RestoredGroup{}, RecordedPrimary{}, RecordedPrimary{}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
